--- /dev/null
+++ b/internal/peer/peerpb/doc.go
@@ -0,0 +1,2 @@
+// Package peerpb holds the protobuf messages that the project's processes exchange.
+package peerpb
--- /dev/null
+++ b/main.go
@@ -0,0 +1,3 @@
+package main
+
+func main() {}
--- /dev/null
+++ b/refusal/kind.go
@@ -0,0 +1,36 @@
+package refusal
+
+// A Kind names one way in which a request is not answered by a backend server.
+type Kind string
+
+// The closed list of kinds.
+const (
+	MalformedRequest      Kind = "malformed-request"
+	NoRoute               Kind = "no-route"
+	KeyMissing            Kind = "key-missing"
+	KeyUnknown            Kind = "key-unknown"
+	KeyWithdrawn          Kind = "key-withdrawn"
+	CallTokenInvalid      Kind = "call-token-invalid"
+	ConfigurationStale    Kind = "configuration-stale"
+	RateExceeded          Kind = "rate-exceeded"
+	Overloaded            Kind = "overloaded"
+	DeadlineUnreachable   Kind = "deadline-unreachable"
+	DeadlineExceeded      Kind = "deadline-exceeded"
+	NoTarget              Kind = "no-target"
+	TargetUnreachable     Kind = "target-unreachable"
+	TargetFailed          Kind = "target-failed"
+	TargetCrashed         Kind = "target-crashed"
+	AnswerCut             Kind = "answer-cut"
+	Draining              Kind = "draining"
+	RetriesExhausted      Kind = "retries-exhausted"
+	IdempotencyKeyMissing Kind = "idempotency-key-missing"
+	IdempotencyKeyInvalid Kind = "idempotency-key-invalid"
+	IdempotencyKeyExpired Kind = "idempotency-key-expired"
+	IdempotencyKeyReused  Kind = "idempotency-key-reused"
+	ClaimUnavailable      Kind = "claim-unavailable"
+	ClaimInProgress       Kind = "claim-in-progress"
+	OutcomeUnknown        Kind = "outcome-unknown"
+	Quarantined           Kind = "quarantined"
+	Cancelled             Kind = "cancelled"
+	Internal              Kind = "internal"
+)
