--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,209 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/rs/zerolog"
+
+	"sapphirespread.example/internal/peer/peerpb"
+)
+
+// A Handler serves one stream; the stream is closed when it returns, and ctx ends with the session.
+type Handler func(ctx context.Context, from Identity, stream *Stream)
+
+// A Server accepts sessions and hands each stream to the handler of its kind.
+type Server struct {
+	self     Identity
+	tls      *tls.Config
+	logger   zerolog.Logger
+	mu       sync.Mutex
+	handlers map[string]Handler
+	closers  map[net.Conn]struct{}
+	listener net.Listener
+	closed   bool
+	running  sync.WaitGroup
+}
+
+// A ServerOption changes how a Server accepts sessions.
+type ServerOption func(*Server)
+
+// WithServerTLS makes the server demand TLS by config.
+func WithServerTLS(config *tls.Config) ServerOption {
+	return func(s *Server) { s.tls = config }
+}
+
+// WithServerLogger sets where refused sessions are logged.
+func WithServerLogger(logger zerolog.Logger) ServerOption {
+	return func(s *Server) { s.logger = logger }
+}
+
+// NewServer returns a server that introduces itself as self.
+func NewServer(self Identity, options ...ServerOption) *Server {
+	server := &Server{
+		self:     self,
+		logger:   zerolog.Nop(),
+		handlers: make(map[string]Handler),
+		closers:  make(map[net.Conn]struct{}),
+	}
+	for _, option := range options {
+		option(server)
+	}
+	return server
+}
+
+// Handle sets the handler of streams of kind; it is called before Serve.
+func (s *Server) Handle(kind string, handler Handler) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.handlers[kind] = handler
+}
+
+// Serve accepts sessions until Close; it returns nil after Close.
+func (s *Server) Serve(listener net.Listener) error {
+	s.mu.Lock()
+	s.listener = listener
+	closed := s.closed
+	s.mu.Unlock()
+	if closed {
+		return listener.Close()
+	}
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return s.acceptError(err)
+		}
+		if !s.track(conn) {
+			return nil
+		}
+		go s.serveConn(conn)
+	}
+}
+
+func (s *Server) acceptError(err error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+func (s *Server) track(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		_ = conn.Close()
+		return false
+	}
+	s.closers[conn] = struct{}{}
+	s.running.Add(1)
+	return true
+}
+
+func (s *Server) untrack(conn net.Conn) {
+	_ = conn.Close()
+	s.mu.Lock()
+	delete(s.closers, conn)
+	s.mu.Unlock()
+	s.running.Done()
+}
+
+// Close ends all sessions and waits until their handlers have returned.
+func (s *Server) Close() error {
+	s.mu.Lock()
+	s.closed = true
+	listener := s.listener
+	for conn := range s.closers {
+		_ = conn.Close()
+	}
+	s.mu.Unlock()
+	var err error
+	if listener != nil {
+		err = listener.Close()
+	}
+	s.running.Wait()
+	return err
+}
+
+func (s *Server) serveConn(raw net.Conn) {
+	defer s.untrack(raw)
+	conn := raw
+	if s.tls != nil {
+		conn = tls.Server(raw, s.tls)
+	}
+	session, from, err := s.acceptSession(conn)
+	if err != nil {
+		s.logger.Warn().Err(err).Stringer("address", raw.RemoteAddr()).Msg("peer: session refused")
+		return
+	}
+	s.serveStreams(session, from)
+}
+
+func (s *Server) acceptSession(conn net.Conn) (*yamux.Session, Identity, error) {
+	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		return nil, Identity{}, err
+	}
+	session, err := yamux.Server(conn, sessionConfig())
+	if err != nil {
+		return nil, Identity{}, err
+	}
+	from, err := s.acceptIntroduction(session)
+	if err == nil {
+		err = conn.SetDeadline(time.Time{})
+	}
+	if err != nil {
+		_ = session.Close()
+		return nil, Identity{}, err
+	}
+	return session, from, nil
+}
+
+func (s *Server) acceptIntroduction(session *yamux.Session) (Identity, error) {
+	first, err := session.AcceptStream()
+	if err != nil {
+		return Identity{}, err
+	}
+	stream := newStream(first)
+	defer func() { _ = stream.Close() }()
+	return welcome(stream, s.self)
+}
+
+func (s *Server) serveStreams(session *yamux.Session, from Identity) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var streams sync.WaitGroup
+	defer streams.Wait()
+	defer cancel()
+	defer func() { _ = session.Close() }()
+	for {
+		inner, err := session.AcceptStream()
+		if err != nil {
+			return
+		}
+		streams.Go(func() { s.serveStream(ctx, from, newStream(inner)) })
+	}
+}
+
+func (s *Server) serveStream(ctx context.Context, from Identity, stream *Stream) {
+	defer func() { _ = stream.Close() }()
+	_ = stream.SetReadDeadline(time.Now().Add(handshakeTimeout))
+	var header peerpb.StreamHeader
+	if err := stream.Receive(&header); err != nil {
+		s.logger.Warn().Err(err).Str("process", from.Process).Msg("peer: stream without a header")
+		return
+	}
+	_ = stream.SetReadDeadline(time.Time{})
+	s.mu.Lock()
+	handler := s.handlers[header.GetKind()]
+	s.mu.Unlock()
+	if handler == nil {
+		s.logger.Warn().Str("kind", header.GetKind()).Str("process", from.Process).Msg("peer: stream of an unknown kind")
+		return
+	}
+	handler(ctx, from, stream)
+}
--- /dev/null
+++ b/internal/peer/stream.go
@@ -0,0 +1,91 @@
+package peer
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	maxMessageBytes = 16 << 20
+	readBufferBytes = 16 << 10
+)
+
+var readOptions = protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}
+
+var bufferPool = sync.Pool{New: func() any { return new([]byte) }}
+
+// A Stream carries messages of one kind of exchange; one goroutine may send while another receives.
+type Stream struct {
+	inner  *yamux.Stream
+	reader *bufio.Reader
+}
+
+func newStream(inner *yamux.Stream) *Stream {
+	return &Stream{inner: inner, reader: bufio.NewReaderSize(inner, readBufferBytes)}
+}
+
+// Send writes one message and returns once the session has taken it.
+func (s *Stream) Send(message proto.Message) error {
+	size := proto.Size(message)
+	if size > maxMessageBytes {
+		return errors.New("sending a message: larger than a peer accepts")
+	}
+	pooled, _ := bufferPool.Get().(*[]byte)
+	defer bufferPool.Put(pooled)
+	encoded, err := appendDelimited((*pooled)[:0], size, message)
+	if err != nil {
+		return err
+	}
+	*pooled = encoded
+	_, err = s.inner.Write(encoded)
+	return err
+}
+
+// Receive reads the next message; it returns io.EOF where the peer closed the stream between messages.
+func (s *Stream) Receive(message proto.Message) error {
+	return readOptions.UnmarshalFrom(s.reader, message)
+}
+
+// SetDeadline bounds all later sends and receives; the zero time removes the bound.
+func (s *Stream) SetDeadline(deadline time.Time) error {
+	return s.inner.SetDeadline(deadline)
+}
+
+// SetReadDeadline bounds all later receives; the zero time removes the bound.
+func (s *Stream) SetReadDeadline(deadline time.Time) error {
+	return s.inner.SetReadDeadline(deadline)
+}
+
+// Close ends the stream in both directions.
+func (s *Stream) Close() error {
+	return s.inner.Close()
+}
+
+// Splice copies bytes between s and other in both directions until one of them ends, then closes both.
+func (s *Stream) Splice(other *Stream) {
+	done := make(chan struct{}, 2)
+	go copyOneWay(s, other, done)
+	go copyOneWay(other, s, done)
+	<-done
+	s.abort()
+	other.abort()
+	<-done
+}
+
+func copyOneWay(to, from *Stream, done chan<- struct{}) {
+	_, _ = io.Copy(to.inner, from.reader)
+	done <- struct{}{}
+}
+
+// abort closes the stream and ends reads that are under way.
+func (s *Stream) abort() {
+	_ = s.inner.Close()
+	_ = s.inner.SetDeadline(time.Unix(1, 0))
+}
