--- /dev/null
+++ b/internal/store/snapshotter.go
@@ -0,0 +1,118 @@
+package store
+
+import (
+	"github.com/joomcode/errorx"
+	"google.golang.org/protobuf/proto"
+
+	"sapphirespread.example/journal"
+	"sapphirespread.example/replica"
+)
+
+// snapshotter writes one snapshot at a time beside the loop.
+type snapshotter struct {
+	written chan writtenSnapshot
+	writing bool
+	ready   *writtenSnapshot
+	// retryAt is the length of the log at which a failed snapshot is tried again.
+	retryAt  int64
+	installs uint64
+}
+
+type writtenSnapshot struct {
+	snapshot replica.Snapshot
+	file     *journal.WrittenSnapshot
+	size     int64
+	err      error
+}
+
+func newSnapshotter() snapshotter {
+	return snapshotter{written: make(chan writtenSnapshot, 1)}
+}
+
+func (s *snapshotter) arrived(written writtenSnapshot) {
+	s.writing = false
+	s.ready = &written
+}
+
+func (s *snapshotter) wait() {
+	if s.writing {
+		s.arrived(<-s.written)
+	}
+}
+
+// compact puts a written snapshot in force, or starts to write one where the log has grown long.
+func (s *Store) compact() error {
+	if written := s.snapshots.ready; written != nil {
+		s.snapshots.ready = nil
+		return s.rotate(*written)
+	}
+	length := s.disk.journal.Size()
+	if s.snapshots.writing || length < max(s.snapshotBytes, s.snapshots.retryAt, 2*s.disk.snapshot) {
+		return nil
+	}
+	return s.startSnapshot()
+}
+
+func (s *Store) startSnapshot() error {
+	snapshot, ok := s.replica.AppliedSnapshot()
+	if !ok {
+		return nil
+	}
+	body, err := s.machine.Snapshot()
+	if err != nil {
+		return errorx.Decorate(err, "taking snapshot %d", snapshot.Index)
+	}
+	snapshot.Body = body
+	s.snapshots.writing = true
+	go func() { s.snapshots.written <- s.write(snapshot) }()
+	return nil
+}
+
+func (s *Store) write(snapshot replica.Snapshot) writtenSnapshot {
+	encoded, err := proto.Marshal(replica.EncodeSnapshot(snapshot))
+	if err != nil {
+		return writtenSnapshot{err: err}
+	}
+	file, err := s.disk.journal.WriteSnapshot(encoded)
+	return writtenSnapshot{snapshot: snapshot, file: file, size: int64(len(encoded)), err: err}
+}
+
+// rotate keeps the old log where the snapshot could not be written, and tries again when that has grown.
+func (s *Store) rotate(written writtenSnapshot) error {
+	err := written.err
+	if err == nil {
+		index := written.snapshot.Index
+		err = s.disk.rotate(written.file, written.size, s.replica.HardState(), s.replica.EntriesAfter(index))
+	}
+	if errorx.IsOfType(err, errorx.Cast(journal.ErrFailed).Type()) {
+		return err
+	}
+	if err != nil {
+		s.snapshots.retryAt = s.disk.journal.Size() + s.snapshotBytes
+		s.logger.Warn().Err(err).Msg("store: snapshot failed, the log grows on")
+		return nil
+	}
+	s.snapshots.retryAt = 0
+	s.replica.Compact(written.snapshot)
+	return nil
+}
+
+// install replaces the state by a leader's snapshot; one being written here is dropped.
+func (s *Store) install(snapshot replica.Snapshot) error {
+	s.snapshots.wait()
+	s.snapshots.ready = nil
+	written := s.write(snapshot)
+	if written.err != nil {
+		return errorx.Decorate(written.err, "installing snapshot %d", snapshot.Index)
+	}
+	if err := s.disk.rotate(written.file, written.size, s.replica.HardState(), nil); err != nil {
+		return errorx.Decorate(err, "installing snapshot %d", snapshot.Index)
+	}
+	s.machineLock.Lock()
+	defer s.machineLock.Unlock()
+	if err := s.machine.Restore(snapshot.Body); err != nil {
+		return errorx.Decorate(err, "restoring snapshot %d", snapshot.Index)
+	}
+	s.snapshots.installs++
+	return nil
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,175 @@
+package store
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"sapphirespread.example/internal/peer"
+	"sapphirespread.example/journal"
+	"sapphirespread.example/replica"
+)
+
+// A Store is one instance of the replicated state; its methods may be called concurrently.
+type Store struct {
+	options
+	settings Settings
+	machine  Machine
+	folder   *journal.Folder
+	disk     *disk
+	replica  *replica.Replica
+	links    *links
+
+	machineLock sync.RWMutex
+	view        atomic.Pointer[view]
+	requests    chan *request
+	statuses    chan chan Status
+	transfers   chan chan error
+	changed     chan struct{}
+
+	waiting   waiting
+	snapshots snapshotter
+	beat      *time.Ticker
+
+	cancel  context.CancelFunc
+	done    chan struct{}
+	failure error
+}
+
+// Open recovers the instance's state and starts it; messages to it are of the stream kind "replica".
+func Open(settings Settings, machine Machine, pool *peer.Pool, server *peer.Server, opts ...Option) (*Store, error) {
+	return OpenOver(settings, machine, peerTransport{pool: pool, server: server}, opts...)
+}
+
+// OpenOver is Open with a transport.
+func OpenOver(settings Settings, machine Machine, transport Transport, opts ...Option) (*Store, error) {
+	settings, err := settings.withDefaults()
+	if err != nil {
+		return nil, err
+	}
+	s := &Store{
+		options:   newOptions(opts),
+		settings:  settings,
+		machine:   machine,
+		links:     newLinks(transport),
+		requests:  make(chan *request, queueLength),
+		statuses:  make(chan chan Status),
+		transfers: make(chan chan error),
+		changed:   make(chan struct{}, 1),
+		waiting:   waiting{},
+		snapshots: newSnapshotter(),
+		done:      make(chan struct{}),
+	}
+	if err := s.recover(); err != nil {
+		s.closeFiles()
+		return nil, errorx.Decorate(err, "opening the store of %s", settings.Name)
+	}
+	s.start()
+	return s, nil
+}
+
+func (s *Store) recover() error {
+	if s.fsys == nil {
+		folder, err := journal.NewFolder(s.settings.DataFolder)
+		if err != nil {
+			return err
+		}
+		s.folder = folder
+		s.fsys = folder
+	}
+	opened, persisted, err := openDisk(s.fsys, s.settings.Name)
+	if err != nil {
+		return err
+	}
+	s.disk = opened
+	if persisted.Snapshot.Index > 0 {
+		if err := s.machine.Restore(persisted.Snapshot.Body); err != nil {
+			return errorx.Decorate(err, "restoring snapshot %d", persisted.Snapshot.Index)
+		}
+	}
+	opts := append([]replica.Option{
+		replica.WithPeers(s.settings.peers()...),
+		replica.WithJoin(s.settings.Join),
+		replica.WithElectionTimeout(s.settings.ElectionTimeout),
+		replica.WithHeartbeat(s.settings.Heartbeat),
+	}, s.options.replica...)
+	s.replica, err = replica.New(time.Now(), s.settings.Name, s.disk.id, s.settings.Address, persisted, opts...)
+	return err
+}
+
+func (s *Store) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.view.Store(&view{})
+	s.publish(time.Now())
+	s.beat = time.NewTicker(s.settings.Heartbeat / 2)
+	s.links.accept(ctx)
+	go s.run(ctx)
+}
+
+// Leader returns the name and peer address of the leader, as far as this instance knows.
+func (s *Store) Leader() (name string, address netip.AddrPort, known bool) {
+	v := s.view.Load()
+	return v.leader.Name, v.leader.Address, v.known
+}
+
+// Lease reports whether this instance may answer reads at now as the leader; no other instance can.
+func (s *Store) Lease(now time.Time) bool {
+	v := s.view.Load()
+	return v.leased && now.Before(v.leaseUntil)
+}
+
+// Term returns the current term.
+func (s *Store) Term() uint64 {
+	return s.view.Load().term
+}
+
+// Applied returns the index of the last applied entry.
+func (s *Store) Applied() uint64 {
+	return s.view.Load().applied
+}
+
+// Read runs read while no command is applied.
+func (s *Store) Read(read func()) {
+	s.machineLock.RLock()
+	defer s.machineLock.RUnlock()
+	read()
+}
+
+// Changed receives after the leadership, the lease or the applied index has changed; changes are coalesced.
+func (s *Store) Changed() <-chan struct{} {
+	return s.changed
+}
+
+// Done is closed once the store has stopped, by Close or by a failure that Err returns.
+func (s *Store) Done() <-chan struct{} {
+	return s.done
+}
+
+// Err returns why the store has stopped by itself; it is called after Done.
+func (s *Store) Err() error {
+	<-s.done
+	return s.failure
+}
+
+// Close stops the instance without handing over the leadership; call Transfer before for a planned stop.
+func (s *Store) Close() error {
+	s.cancel()
+	<-s.done
+	s.links.wait()
+	s.closeFiles()
+	return s.failure
+}
+
+func (s *Store) closeFiles() {
+	if s.disk != nil {
+		_ = s.disk.journal.Close()
+	}
+	if s.folder != nil {
+		_ = s.folder.Close()
+	}
+}
--- /dev/null
+++ b/internal/store/transfer.go
@@ -0,0 +1,31 @@
+package store
+
+import (
+	"context"
+
+	"github.com/joomcode/errorx"
+)
+
+// Transfer hands the leadership to another voter and returns once this instance no longer leads.
+// It returns replica.ErrNoSuccessor where no voter can take over.
+func (s *Store) Transfer(ctx context.Context) error {
+	reply := make(chan error, 1)
+	select {
+	case s.transfers <- reply:
+	case <-s.done:
+		return ErrStopped
+	case <-ctx.Done():
+		return errorx.Decorate(ErrUnavailable, "asking for a transfer: %v", ctx.Err())
+	}
+	if err := <-reply; err != nil {
+		return err
+	}
+	poll := s.settings.Heartbeat / 2
+	for s.view.Load().leading {
+		pause(ctx, poll)
+		if ctx.Err() != nil {
+			return errorx.Decorate(ErrUnavailable, "waiting for a successor: %v", ctx.Err())
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/journal/folder.go
@@ -0,0 +1,109 @@
+package journal
+
+import (
+	"os"
+	"path/filepath"
+	"syscall"
+
+	"github.com/joomcode/errorx"
+)
+
+const (
+	folderMode = 0o700
+	fileMode   = 0o600
+	lockName   = "lock"
+)
+
+// A Folder is the FS of the operating system, locked against use by a second process.
+type Folder struct {
+	path string
+	lock *os.File
+}
+
+// NewFolder creates the data folder where it is missing and locks it, or fails with ErrLocked.
+func NewFolder(path string) (*Folder, error) {
+	if err := os.MkdirAll(path, folderMode); err != nil {
+		return nil, errorx.Decorate(err, "creating data folder %s", path)
+	}
+	lock, err := os.OpenFile(filepath.Join(path, lockName), os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return nil, errorx.Decorate(err, "opening the lock of data folder %s", path)
+	}
+	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = lock.Close()
+		return nil, errorx.Decorate(ErrLocked, "locking data folder %s: %v", path, err)
+	}
+	return &Folder{path: path, lock: lock}, nil
+}
+
+// Close releases the lock.
+func (f *Folder) Close() error {
+	return f.lock.Close()
+}
+
+// Create opens an empty file for writing.
+func (f *Folder) Create(name string) (File, error) {
+	return os.OpenFile(f.join(name), os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+}
+
+// Append opens an existing file for writing at its end.
+func (f *Folder) Append(name string) (File, error) {
+	return os.OpenFile(f.join(name), os.O_APPEND|os.O_WRONLY, fileMode)
+}
+
+// Read returns the whole content of a file.
+func (f *Folder) Read(name string) ([]byte, error) {
+	return os.ReadFile(f.join(name))
+}
+
+// Truncate cuts a file to size bytes and syncs it.
+func (f *Folder) Truncate(name string, size int64) error {
+	file, err := os.OpenFile(f.join(name), os.O_WRONLY, fileMode)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	if err := file.Truncate(size); err != nil {
+		return err
+	}
+	return file.Sync()
+}
+
+// Rename replaces newName by oldName.
+func (f *Folder) Rename(oldName, newName string) error {
+	return os.Rename(f.join(oldName), f.join(newName))
+}
+
+// Remove deletes a file.
+func (f *Folder) Remove(name string) error {
+	return os.Remove(f.join(name))
+}
+
+// List returns the names of all files but the lock.
+func (f *Folder) List() ([]string, error) {
+	entries, err := os.ReadDir(f.path)
+	if err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, entry := range entries {
+		if entry.Type().IsRegular() && entry.Name() != lockName {
+			names = append(names, entry.Name())
+		}
+	}
+	return names, nil
+}
+
+// SyncFolder returns once all created, renamed and removed names last.
+func (f *Folder) SyncFolder() error {
+	folder, err := os.Open(f.path)
+	if err != nil {
+		return err
+	}
+	defer folder.Close()
+	return folder.Sync()
+}
+
+func (f *Folder) join(name string) string {
+	return filepath.Join(f.path, name)
+}
--- /dev/null
+++ b/journal/header.go
@@ -0,0 +1,59 @@
+package journal
+
+import (
+	"bytes"
+	"encoding/binary"
+	"hash/crc32"
+
+	"github.com/joomcode/errorx"
+)
+
+const (
+	formatVersion      = 1
+	fileMagic          = "sapphire"
+	fileHeaderSize     = 16
+	snapshotHeaderSize = fileHeaderSize + 12
+)
+
+// encodeFileHeader returns the magic, the format version and their checksum.
+func encodeFileHeader() []byte {
+	header := append([]byte(nil), fileMagic...)
+	header = binary.LittleEndian.AppendUint32(header, formatVersion)
+	return binary.LittleEndian.AppendUint32(header, crc32.Checksum(header, castagnoli))
+}
+
+func checkFileHeader(name string, data []byte) error {
+	if len(data) < fileHeaderSize || !bytes.HasPrefix(data, []byte(fileMagic)) {
+		return errorx.Decorate(ErrCorrupt, "reading the header of %s", name)
+	}
+	if binary.LittleEndian.Uint32(data[12:]) != crc32.Checksum(data[:12], castagnoli) {
+		return errorx.Decorate(ErrCorrupt, "checking the header of %s", name)
+	}
+	version := binary.LittleEndian.Uint32(data[8:])
+	if version > formatVersion {
+		return errorx.Decorate(ErrNewerFormat, "reading %s: format %d, this release reads up to %d", name, version, formatVersion)
+	}
+	return nil
+}
+
+func encodeSnapshotHeader(body []byte) []byte {
+	header := encodeFileHeader()
+	header = binary.LittleEndian.AppendUint64(header, uint64(len(body)))
+	return binary.LittleEndian.AppendUint32(header, crc32.Checksum(body, castagnoli))
+}
+
+func decodeSnapshot(name string, data []byte) ([]byte, error) {
+	if err := checkFileHeader(name, data); err != nil {
+		return nil, err
+	}
+	if len(data) < snapshotHeaderSize {
+		return nil, errorx.Decorate(ErrCorrupt, "reading %s", name)
+	}
+	body := data[snapshotHeaderSize:]
+	length := binary.LittleEndian.Uint64(data[fileHeaderSize:])
+	checksum := binary.LittleEndian.Uint32(data[fileHeaderSize+8:])
+	if length != uint64(len(body)) || checksum != crc32.Checksum(body, castagnoli) {
+		return nil, errorx.Decorate(ErrCorrupt, "checking %s", name)
+	}
+	return body, nil
+}
--- /dev/null
+++ b/journal/journal.go
@@ -0,0 +1,77 @@
+package journal
+
+import (
+	"fmt"
+	"sync/atomic"
+
+	"github.com/joomcode/errorx"
+)
+
+// A Journal appends records to the log of one generation; only WriteSnapshot may run beside other calls.
+type Journal struct {
+	fsys       FS
+	generation uint64
+	log        File
+	size       int64
+	frames     uint64
+	pending    [][]byte
+	failure    error
+	temporary  atomic.Uint64
+}
+
+// Append buffers records for the next Sync.
+func (j *Journal) Append(records ...[]byte) {
+	j.pending = append(j.pending, records...)
+}
+
+// Sync writes all appended records as one frame and returns once they last.
+// After a failed write or sync the journal takes no more records and returns ErrFailed.
+func (j *Journal) Sync() error {
+	if j.failure != nil {
+		return j.failure
+	}
+	if len(j.pending) == 0 {
+		return nil
+	}
+	frame := encodeFrame(j.frames, j.pending)
+	if _, err := j.log.Write(frame); err != nil {
+		return j.fail(err, "writing to the log")
+	}
+	if err := j.log.Sync(); err != nil {
+		return j.fail(err, "syncing the log")
+	}
+	j.pending = j.pending[:0]
+	j.size += int64(len(frame))
+	j.frames++
+	return nil
+}
+
+// Size returns the length of the log in bytes.
+func (j *Journal) Size() int64 {
+	return j.size
+}
+
+// Close closes the log without syncing what was appended since the last Sync.
+func (j *Journal) Close() error {
+	if j.failure == nil {
+		j.failure = errorx.Decorate(ErrFailed, "using a closed journal")
+	}
+	return j.log.Close()
+}
+
+func (j *Journal) fail(cause error, doing string) error {
+	j.failure = errorx.Decorate(ErrFailed, "%s: %v", doing, cause)
+	return j.failure
+}
+
+func logName(generation uint64) string {
+	return fmt.Sprintf("log-%016x", generation)
+}
+
+func snapshotName(generation uint64) string {
+	return fmt.Sprintf("snapshot-%016x", generation)
+}
+
+func temporaryName(number uint64) string {
+	return fmt.Sprintf("snapshot-%016x.tmp", number)
+}
--- /dev/null
+++ b/journal/open.go
@@ -0,0 +1,151 @@
+package journal
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/joomcode/errorx"
+)
+
+// Recovered is what a journal held when it was opened.
+type Recovered struct {
+	// New is true where the folder held no journal.
+	New bool
+	// Snapshot is the body of the snapshot in force, empty before the first one.
+	Snapshot []byte
+	// Records are those of the log, in order.
+	Records [][]byte
+	// CutBytes counts the bytes of a torn last frame that were cut off.
+	CutBytes int64
+}
+
+// Open recovers the journal in fsys, or creates one where there is none.
+func Open(fsys FS) (*Journal, Recovered, error) {
+	names, err := fsys.List()
+	if err != nil {
+		return nil, Recovered{}, errorx.Decorate(err, "listing the data folder")
+	}
+	current := latestSnapshot(names)
+	if current == "" {
+		return initialize(fsys, names)
+	}
+	generation, err := parseGeneration(current)
+	if err != nil {
+		return nil, Recovered{}, err
+	}
+	j := &Journal{fsys: fsys, generation: generation}
+	recovered, err := j.recover()
+	if err != nil {
+		return nil, Recovered{}, err
+	}
+	removeOthers(fsys, names, logName(generation), current)
+	return j, recovered, nil
+}
+
+func (j *Journal) recover() (Recovered, error) {
+	recovered := Recovered{}
+	data, err := j.fsys.Read(snapshotName(j.generation))
+	if err != nil {
+		return recovered, errorx.Decorate(err, "reading the snapshot")
+	}
+	if recovered.Snapshot, err = decodeSnapshot(snapshotName(j.generation), data); err != nil {
+		return recovered, err
+	}
+	log := logName(j.generation)
+	data, err = j.fsys.Read(log)
+	if err != nil {
+		return recovered, errorx.Decorate(ErrCorrupt, "reading %s: %v", log, err)
+	}
+	if err := checkFileHeader(log, data); err != nil {
+		return recovered, err
+	}
+	records, size, frames, err := decodeFrames(data[fileHeaderSize:], fileHeaderSize)
+	if err != nil {
+		return recovered, errorx.Decorate(err, "reading %s", log)
+	}
+	recovered.Records = records
+	j.size = int64(fileHeaderSize + size)
+	j.frames = frames
+	if recovered.CutBytes = int64(len(data)) - j.size; recovered.CutBytes > 0 {
+		if err := j.fsys.Truncate(log, j.size); err != nil {
+			return recovered, errorx.Decorate(err, "cutting the torn end of %s", log)
+		}
+	}
+	if j.log, err = j.fsys.Append(log); err != nil {
+		return recovered, errorx.Decorate(err, "opening %s", log)
+	}
+	return recovered, j.settle()
+}
+
+// settle syncs what a killed process may have left written but not synced.
+func (j *Journal) settle() error {
+	if err := j.log.Sync(); err != nil {
+		return errorx.Decorate(err, "syncing the log")
+	}
+	if err := j.fsys.SyncFolder(); err != nil {
+		return errorx.Decorate(err, "syncing the data folder")
+	}
+	return nil
+}
+
+// initialize creates generation 0; a log with records but without its snapshot is corrupt.
+func initialize(fsys FS, names []string) (*Journal, Recovered, error) {
+	for _, name := range names {
+		if !strings.HasPrefix(name, "log-") {
+			continue
+		}
+		data, err := fsys.Read(name)
+		if err != nil {
+			return nil, Recovered{}, errorx.Decorate(err, "reading %s", name)
+		}
+		if len(data) > fileHeaderSize {
+			return nil, Recovered{}, errorx.Decorate(ErrCorrupt, "reading %s: its snapshot is missing", name)
+		}
+	}
+	j := &Journal{fsys: fsys}
+	log, size, err := createLog(fsys, logName(0), nil)
+	if err != nil {
+		return nil, Recovered{}, errorx.Decorate(err, "creating the first log")
+	}
+	j.log = log
+	j.size = size
+	if err := j.placeFirstSnapshot(); err != nil {
+		_ = log.Close()
+		return nil, Recovered{}, err
+	}
+	return j, Recovered{New: true}, nil
+}
+
+func (j *Journal) placeFirstSnapshot() error {
+	written, err := j.WriteSnapshot(nil)
+	if err != nil {
+		return err
+	}
+	if err := j.fsys.Rename(written.name, snapshotName(0)); err != nil {
+		return errorx.Decorate(err, "placing the first snapshot")
+	}
+	if err := j.fsys.SyncFolder(); err != nil {
+		return errorx.Decorate(err, "syncing the data folder")
+	}
+	return nil
+}
+
+func latestSnapshot(names []string) string {
+	latest := ""
+	for _, name := range names {
+		if strings.HasPrefix(name, "snapshot-") && !strings.HasSuffix(name, ".tmp") {
+			latest = max(latest, name)
+		}
+	}
+	return latest
+}
+
+// removeOthers deletes the journal's files of other generations; one that stays does no harm.
+func removeOthers(fsys FS, names []string, keep ...string) {
+	for _, name := range names {
+		own := strings.HasPrefix(name, "log-") || strings.HasPrefix(name, "snapshot-")
+		if own && !slices.Contains(keep, name) {
+			_ = fsys.Remove(name)
+		}
+	}
+}
--- /dev/null
+++ b/replica/codec.go
@@ -0,0 +1,125 @@
+package replica
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"sapphirespread.example/replica/replicapb"
+)
+
+// EncodeEntry returns the protobuf form of an entry.
+func EncodeEntry(entry Entry) *replicapb.Entry {
+	return &replicapb.Entry{
+		Index:   entry.Index,
+		Term:    entry.Term,
+		At:      entry.At.UnixNano(),
+		Kind:    string(entry.Kind),
+		Command: entry.Command,
+		Members: encodeMembers(entry.Members),
+	}
+}
+
+// DecodeEntry returns the entry of a protobuf form, or ErrInvalid.
+func DecodeEntry(encoded *replicapb.Entry) (Entry, error) {
+	members, err := decodeMembers(encoded.GetMembers())
+	if err != nil {
+		return Entry{}, errorx.Decorate(err, "decoding entry %d", encoded.GetIndex())
+	}
+	kind := EntryKind(encoded.GetKind())
+	switch kind {
+	case CommandEntry, MembersEntry, EmptyEntry:
+	default:
+		return Entry{}, errorx.Decorate(ErrInvalid, "decoding entry %d: unknown kind %q", encoded.GetIndex(), kind)
+	}
+	if encoded.GetIndex() == 0 || encoded.GetTerm() == 0 {
+		return Entry{}, errorx.Decorate(ErrInvalid, "decoding an entry: index and term must not be zero")
+	}
+	return Entry{
+		Index:   encoded.GetIndex(),
+		Term:    encoded.GetTerm(),
+		At:      time.Unix(0, encoded.GetAt()).UTC(),
+		Kind:    kind,
+		Command: encoded.GetCommand(),
+		Members: members,
+	}, nil
+}
+
+// EncodeSnapshot returns the protobuf form of a snapshot.
+func EncodeSnapshot(snapshot Snapshot) *replicapb.Snapshot {
+	return &replicapb.Snapshot{
+		Index:   snapshot.Index,
+		Term:    snapshot.Term,
+		At:      snapshot.At.UnixNano(),
+		Members: encodeMembers(snapshot.Members),
+		Body:    snapshot.Body,
+	}
+}
+
+// DecodeSnapshot returns the snapshot of a protobuf form, or ErrInvalid.
+func DecodeSnapshot(encoded *replicapb.Snapshot) (Snapshot, error) {
+	members, err := decodeMembers(encoded.GetMembers())
+	if err != nil {
+		return Snapshot{}, errorx.Decorate(err, "decoding snapshot %d", encoded.GetIndex())
+	}
+	return Snapshot{
+		Index:   encoded.GetIndex(),
+		Term:    encoded.GetTerm(),
+		At:      time.Unix(0, encoded.GetAt()).UTC(),
+		Members: members,
+		Body:    encoded.GetBody(),
+	}, nil
+}
+
+// EncodeHardState returns the protobuf form of a hard state.
+func EncodeHardState(hard HardState) *replicapb.HardState {
+	return &replicapb.HardState{Cluster: hard.Cluster, Term: hard.Term, Vote: uint64(hard.Vote)}
+}
+
+// DecodeHardState returns the hard state of a protobuf form.
+func DecodeHardState(encoded *replicapb.HardState) HardState {
+	return HardState{Cluster: encoded.GetCluster(), Term: encoded.GetTerm(), Vote: ID(encoded.GetVote())}
+}
+
+func encodeMembers(members Members) []*replicapb.Member {
+	var encoded []*replicapb.Member
+	for _, member := range members {
+		encoded = append(encoded, &replicapb.Member{
+			Name:    member.Name,
+			Id:      uint64(member.ID),
+			Address: member.Address.String(),
+			Role:    string(member.Role),
+		})
+	}
+	return encoded
+}
+
+func decodeMembers(encoded []*replicapb.Member) (Members, error) {
+	var members Members
+	for _, one := range encoded {
+		member, err := decodeMember(one)
+		if err != nil {
+			return nil, err
+		}
+		members = append(members, member)
+	}
+	return members, nil
+}
+
+func decodeMember(encoded *replicapb.Member) (Member, error) {
+	address, err := netip.ParseAddrPort(encoded.GetAddress())
+	if err != nil {
+		return Member{}, errorx.Decorate(ErrInvalid, "decoding member %q: %v", encoded.GetName(), err)
+	}
+	role := Role(encoded.GetRole())
+	switch role {
+	case Voter, Learner, Returning:
+	default:
+		return Member{}, errorx.Decorate(ErrInvalid, "decoding member %q: unknown role %q", encoded.GetName(), role)
+	}
+	if encoded.GetId() == 0 {
+		return Member{}, errorx.Decorate(ErrInvalid, "decoding member %q: id is zero", encoded.GetName())
+	}
+	return Member{Name: encoded.GetName(), ID: ID(encoded.GetId()), Address: address, Role: role}, nil
+}
