--- a/internal/store/disk.go
+++ b/internal/store/disk.go
@@ -3,13 +3,10 @@
 import (
 	"crypto/rand"
 	"encoding/binary"
-
-	"github.com/joomcode/errorx"
-	"google.golang.org/protobuf/proto"
+	"fmt"
 
 	"sapphirespread.example/journal"
 	"sapphirespread.example/replica"
-	"sapphirespread.example/replica/replicapb"
 )
 
 // disk keeps a replica's state in a journal.
@@ -24,7 +21,7 @@
 func openDisk(fsys journal.FS, name string) (*disk, replica.Persisted, error) {
 	j, recovered, err := journal.Open(fsys)
 	if err != nil {
-		return nil, replica.Persisted{}, errorx.Decorate(err, "opening the journal")
+		return nil, replica.Persisted{}, fmt.Errorf("opening the journal: %w", err)
 	}
 	d := &disk{journal: j, name: name, snapshot: int64(len(recovered.Snapshot))}
 	persisted, err := d.load(recovered)
@@ -39,48 +36,43 @@
 }
 
 func (d *disk) load(recovered journal.Recovered) (replica.Persisted, error) {
-	state := newState()
-	if err := state.restore(recovered.Snapshot); err != nil {
+	recovery, err := replica.Recover(recovered.Snapshot, recovered.Records)
+	if err != nil {
 		return replica.Persisted{}, err
 	}
-	for i, record := range recovered.Records {
-		if err := state.add(record); err != nil {
-			return replica.Persisted{}, errorx.Decorate(err, "reading record %d of the journal", i)
-		}
+	if recovery.ID != 0 && recovery.Name != d.name {
+		return replica.Persisted{}, fmt.Errorf("opening the data folder of %q as %q: %w", recovery.Name, d.name, ErrOtherInstance)
 	}
-	if state.id != 0 && state.name != d.name {
-		return replica.Persisted{}, errorx.Decorate(ErrOtherInstance, "opening the data folder of %q as %q", state.name, d.name)
-	}
-	d.id = state.id
-	return state.persisted, nil
+	d.id = recovery.ID
+	return recovery.Persisted, nil
 }
 
 func (d *disk) initialize() error {
 	var random [8]byte
 	if _, err := rand.Read(random[:]); err != nil {
-		return errorx.Decorate(err, "drawing a replica id")
+		return fmt.Errorf("drawing a replica id: %w", err)
 	}
 	d.id = replica.ID(binary.LittleEndian.Uint64(random[:]) | 1)
-	d.journal.Append(d.identity())
+	d.journal.Append(replica.EncodeIdentityRecord(d.id, d.name))
 	return d.journal.Sync()
 }
 
 // persist returns once the hard state and entries of a Ready last.
 func (d *disk) persist(ready replica.Ready) error {
 	if ready.HardState != nil {
-		d.journal.Append(encodeHardState(*ready.HardState))
+		d.journal.Append(replica.EncodeHardStateRecord(*ready.HardState))
 	}
 	for _, entry := range ready.Entries {
-		d.journal.Append(encodeEntry(entry))
+		d.journal.Append(replica.EncodeEntryRecord(entry))
 	}
 	return d.journal.Sync()
 }
 
 // rotate puts a written snapshot in force, followed by the hard state and the entries after it.
 func (d *disk) rotate(written *journal.WrittenSnapshot, size int64, hard replica.HardState, entries []replica.Entry) error {
-	records := [][]byte{d.identity(), encodeHardState(hard)}
+	records := [][]byte{replica.EncodeIdentityRecord(d.id, d.name), replica.EncodeHardStateRecord(hard)}
 	for _, entry := range entries {
-		records = append(records, encodeEntry(entry))
+		records = append(records, replica.EncodeEntryRecord(entry))
 	}
 	if err := d.journal.Rotate(written, records...); err != nil {
 		return err
@@ -88,25 +80,3 @@
 	d.snapshot = size
 	return nil
 }
-
-func (d *disk) identity() []byte {
-	return encodeRecord(&replicapb.Record{Body: &replicapb.Record_Identity{
-		Identity: &replicapb.Identity{Id: uint64(d.id), Name: d.name},
-	}})
-}
-
-func encodeHardState(hard replica.HardState) []byte {
-	return encodeRecord(&replicapb.Record{Body: &replicapb.Record_HardState{HardState: replica.EncodeHardState(hard)}})
-}
-
-func encodeEntry(entry replica.Entry) []byte {
-	return encodeRecord(&replicapb.Record{Body: &replicapb.Record_Entry{Entry: replica.EncodeEntry(entry)}})
-}
-
-func encodeRecord(record *replicapb.Record) []byte {
-	encoded, err := proto.Marshal(record)
-	if err != nil {
-		panic(errorx.Decorate(err, "encoding a record"))
-	}
-	return encoded
-}
--- a/internal/store/loop.go
+++ b/internal/store/loop.go
@@ -2,10 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
-	"github.com/joomcode/errorx"
-
 	"sapphirespread.example/replica"
 )
 
@@ -20,7 +19,7 @@
 		s.takeEvent(ctx)
 		s.takeWaiting()
 		if err := s.settle(ctx); err != nil {
-			s.failure = errorx.Decorate(err, "running the store")
+			s.failure = fmt.Errorf("running the store: %w", err)
 			s.logger.Error().Err(err).Msg("store: stopped by a failure")
 			break
 		}
@@ -146,7 +145,7 @@
 	}
 	s.view.Store(next)
 	if previous.leading && (!next.leading || next.term != previous.term) {
-		s.waiting.failAll(errorx.Decorate(ErrUnavailable, "losing the leadership of term %d", previous.term))
+		s.waiting.failAll(fmt.Errorf("losing the leadership of term %d: %w", previous.term, ErrUnavailable))
 	}
 	if previous.leading != next.leading {
 		s.logger.Info().Bool("leading", next.leading).Uint64("term", next.term).Msg("store: leadership changed")
--- a/internal/store/propose.go
+++ b/internal/store/propose.go
@@ -2,16 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
-
-	"github.com/joomcode/errorx"
 )
 
 // Propose returns the result of a command once it is committed and applied by this leader.
 // ErrUnavailable means that the outcome is unknown; any other error that the command is never applied.
 func (s *Store) Propose(ctx context.Context, command []byte) ([]byte, error) {
 	if len(command) > MaxCommandBytes {
-		return nil, errorx.Decorate(ErrTooLarge, "proposing %d bytes, at most %d are taken", len(command), MaxCommandBytes)
+		return nil, fmt.Errorf("proposing %d bytes, at most %d are taken: %w", len(command), MaxCommandBytes, ErrTooLarge)
 	}
 	return s.submit(ctx, func(now time.Time) (index, term uint64, err error) {
 		return s.replica.Propose(now, command)
@@ -63,14 +62,14 @@
 	case <-s.done:
 		return nil, ErrStopped
 	case <-ctx.Done():
-		return nil, errorx.Decorate(ErrBusy, "waiting to propose: %v", ctx.Err())
+		return nil, fmt.Errorf("waiting to propose: %v: %w", ctx.Err(), ErrBusy)
 	}
 	select {
 	case a := <-r.answer:
 		return a.result, a.err
 	case <-ctx.Done():
-		return nil, errorx.Decorate(ErrUnavailable, "waiting for the commit: %v", ctx.Err())
+		return nil, fmt.Errorf("waiting for the commit: %v: %w", ctx.Err(), ErrUnavailable)
 	case <-s.done:
-		return nil, errorx.Decorate(ErrUnavailable, "waiting for the commit: the store has stopped")
+		return nil, fmt.Errorf("waiting for the commit: the store has stopped: %w", ErrUnavailable)
 	}
 }
--- a/internal/store/snapshotter.go
+++ b/internal/store/snapshotter.go
@@ -1,7 +1,9 @@
 package store
 
 import (
-	"github.com/joomcode/errorx"
+	"errors"
+	"fmt"
+
 	"google.golang.org/protobuf/proto"
 
 	"sapphirespread.example/journal"
@@ -60,7 +62,7 @@
 	}
 	body, err := s.machine.Snapshot()
 	if err != nil {
-		return errorx.Decorate(err, "taking snapshot %d", snapshot.Index)
+		return fmt.Errorf("taking snapshot %d: %w", snapshot.Index, err)
 	}
 	snapshot.Body = body
 	s.snapshots.writing = true
@@ -84,7 +86,7 @@
 		index := written.snapshot.Index
 		err = s.disk.rotate(written.file, written.size, s.replica.HardState(), s.replica.EntriesAfter(index))
 	}
-	if errorx.IsOfType(err, errorx.Cast(journal.ErrFailed).Type()) {
+	if errors.Is(err, journal.ErrFailed) {
 		return err
 	}
 	if err != nil {
@@ -103,15 +105,15 @@
 	s.snapshots.ready = nil
 	written := s.write(snapshot)
 	if written.err != nil {
-		return errorx.Decorate(written.err, "installing snapshot %d", snapshot.Index)
+		return fmt.Errorf("installing snapshot %d: %w", snapshot.Index, written.err)
 	}
 	if err := s.disk.rotate(written.file, written.size, s.replica.HardState(), nil); err != nil {
-		return errorx.Decorate(err, "installing snapshot %d", snapshot.Index)
+		return fmt.Errorf("installing snapshot %d: %w", snapshot.Index, err)
 	}
 	s.machineLock.Lock()
 	defer s.machineLock.Unlock()
 	if err := s.machine.Restore(snapshot.Body); err != nil {
-		return errorx.Decorate(err, "restoring snapshot %d", snapshot.Index)
+		return fmt.Errorf("restoring snapshot %d: %w", snapshot.Index, err)
 	}
 	s.snapshots.installs++
 	return nil
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/joomcode/errorx"
-
 	"sapphirespread.example/internal/peer"
 	"sapphirespread.example/journal"
 	"sapphirespread.example/replica"
@@ -66,7 +65,7 @@
 	}
 	if err := s.recover(); err != nil {
 		s.closeFiles()
-		return nil, errorx.Decorate(err, "opening the store of %s", settings.Name)
+		return nil, fmt.Errorf("opening the store of %s: %w", settings.Name, err)
 	}
 	s.start()
 	return s, nil
@@ -88,7 +87,7 @@
 	s.disk = opened
 	if persisted.Snapshot.Index > 0 {
 		if err := s.machine.Restore(persisted.Snapshot.Body); err != nil {
-			return errorx.Decorate(err, "restoring snapshot %d", persisted.Snapshot.Index)
+			return fmt.Errorf("restoring snapshot %d: %w", persisted.Snapshot.Index, err)
 		}
 	}
 	opts := append([]replica.Option{
--- a/internal/store/transfer.go
+++ b/internal/store/transfer.go
@@ -2,8 +2,7 @@
 
 import (
 	"context"
-
-	"github.com/joomcode/errorx"
+	"fmt"
 )
 
 // Transfer hands the leadership to another voter and returns once this instance no longer leads.
@@ -15,7 +14,7 @@
 	case <-s.done:
 		return ErrStopped
 	case <-ctx.Done():
-		return errorx.Decorate(ErrUnavailable, "asking for a transfer: %v", ctx.Err())
+		return fmt.Errorf("asking for a transfer: %v: %w", ctx.Err(), ErrUnavailable)
 	}
 	if err := <-reply; err != nil {
 		return err
@@ -24,7 +23,7 @@
 	for s.view.Load().leading {
 		pause(ctx, poll)
 		if ctx.Err() != nil {
-			return errorx.Decorate(ErrUnavailable, "waiting for a successor: %v", ctx.Err())
+			return fmt.Errorf("waiting for a successor: %v: %w", ctx.Err(), ErrUnavailable)
 		}
 	}
 	return nil
--- a/journal/folder.go
+++ b/journal/folder.go
@@ -1,11 +1,10 @@
 package journal
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"syscall"
-
-	"github.com/joomcode/errorx"
 )
 
 const (
@@ -23,15 +22,15 @@
 // NewFolder creates the data folder where it is missing and locks it, or fails with ErrLocked.
 func NewFolder(path string) (*Folder, error) {
 	if err := os.MkdirAll(path, folderMode); err != nil {
-		return nil, errorx.Decorate(err, "creating data folder %s", path)
+		return nil, fmt.Errorf("creating data folder %s: %w", path, err)
 	}
 	lock, err := os.OpenFile(filepath.Join(path, lockName), os.O_CREATE|os.O_RDWR, fileMode)
 	if err != nil {
-		return nil, errorx.Decorate(err, "opening the lock of data folder %s", path)
+		return nil, fmt.Errorf("opening the lock of data folder %s: %w", path, err)
 	}
 	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
 		_ = lock.Close()
-		return nil, errorx.Decorate(ErrLocked, "locking data folder %s: %v", path, err)
+		return nil, fmt.Errorf("locking data folder %s: %v: %w", path, err, ErrLocked)
 	}
 	return &Folder{path: path, lock: lock}, nil
 }
--- a/journal/frame.go
+++ b/journal/frame.go
@@ -3,9 +3,8 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"fmt"
 	"hash/crc32"
-
-	"github.com/joomcode/errorx"
 )
 
 const (
@@ -147,5 +146,5 @@
 }
 
 func corruptAt(offset int, format string, args ...any) error {
-	return errorx.Decorate(errorx.Decorate(ErrCorrupt, format, args...), "reading the log at byte %d", offset)
+	return fmt.Errorf("reading the log at byte %d: %s: %w", offset, fmt.Sprintf(format, args...), ErrCorrupt)
 }
--- a/journal/generation.go
+++ b/journal/generation.go
@@ -1,10 +1,9 @@
 package journal
 
 import (
+	"fmt"
 	"strconv"
 	"strings"
-
-	"github.com/joomcode/errorx"
 )
 
 const hexadecimal = 16
@@ -12,7 +11,7 @@
 func parseGeneration(name string) (uint64, error) {
 	generation, err := strconv.ParseUint(strings.TrimPrefix(name, "snapshot-"), hexadecimal, 64)
 	if err != nil || snapshotName(generation) != name {
-		return 0, errorx.Decorate(ErrCorrupt, "reading the file name %s", name)
+		return 0, fmt.Errorf("reading the file name %s: %w", name, ErrCorrupt)
 	}
 	return generation, nil
 }
--- a/journal/header.go
+++ b/journal/header.go
@@ -3,9 +3,8 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"fmt"
 	"hash/crc32"
-
-	"github.com/joomcode/errorx"
 )
 
 const (
@@ -24,14 +23,14 @@
 
 func checkFileHeader(name string, data []byte) error {
 	if len(data) < fileHeaderSize || !bytes.HasPrefix(data, []byte(fileMagic)) {
-		return errorx.Decorate(ErrCorrupt, "reading the header of %s", name)
+		return fmt.Errorf("reading the header of %s: %w", name, ErrCorrupt)
 	}
 	if binary.LittleEndian.Uint32(data[12:]) != crc32.Checksum(data[:12], castagnoli) {
-		return errorx.Decorate(ErrCorrupt, "checking the header of %s", name)
+		return fmt.Errorf("checking the header of %s: %w", name, ErrCorrupt)
 	}
 	version := binary.LittleEndian.Uint32(data[8:])
 	if version > formatVersion {
-		return errorx.Decorate(ErrNewerFormat, "reading %s: format %d, this release reads up to %d", name, version, formatVersion)
+		return fmt.Errorf("reading %s: format %d, this release reads up to %d: %w", name, version, formatVersion, ErrNewerFormat)
 	}
 	return nil
 }
@@ -47,13 +46,13 @@
 		return nil, err
 	}
 	if len(data) < snapshotHeaderSize {
-		return nil, errorx.Decorate(ErrCorrupt, "reading %s", name)
+		return nil, fmt.Errorf("reading %s: %w", name, ErrCorrupt)
 	}
 	body := data[snapshotHeaderSize:]
 	length := binary.LittleEndian.Uint64(data[fileHeaderSize:])
 	checksum := binary.LittleEndian.Uint32(data[fileHeaderSize+8:])
 	if length != uint64(len(body)) || checksum != crc32.Checksum(body, castagnoli) {
-		return nil, errorx.Decorate(ErrCorrupt, "checking %s", name)
+		return nil, fmt.Errorf("checking %s: %w", name, ErrCorrupt)
 	}
 	return body, nil
 }
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"sync/atomic"
-
-	"github.com/joomcode/errorx"
 )
 
 // A Journal appends records to the log of one generation; only WriteSnapshot may run beside other calls.
@@ -54,13 +52,13 @@
 // Close closes the log without syncing what was appended since the last Sync.
 func (j *Journal) Close() error {
 	if j.failure == nil {
-		j.failure = errorx.Decorate(ErrFailed, "using a closed journal")
+		j.failure = fmt.Errorf("using a closed journal: %w", ErrFailed)
 	}
 	return j.log.Close()
 }
 
 func (j *Journal) fail(cause error, doing string) error {
-	j.failure = errorx.Decorate(ErrFailed, "%s: %v", doing, cause)
+	j.failure = fmt.Errorf("%s: %v: %w", doing, cause, ErrFailed)
 	return j.failure
 }
 
--- /dev/null
+++ b/journal/journal_test.go
@@ -0,0 +1,246 @@
+package journal_test
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"sapphirespread.example/journal"
+)
+
+// model is what a journal has acknowledged, and what it may hold besides if its last call failed.
+type model struct {
+	snapshot  string
+	records   []string
+	attempted []string
+}
+
+// action appends records in one sync, or rotates to a snapshot that keeps the last of them.
+type action struct {
+	sizes  []int
+	rotate bool
+	keep   int
+}
+
+var actions = rapid.Custom(func(t *rapid.T) action {
+	return action{
+		sizes:  rapid.SliceOfN(rapid.IntRange(0, 1500), 1, 4).Draw(t, "sizes"),
+		rotate: rapid.IntRange(0, 3).Draw(t, "rotate") == 0,
+		keep:   rapid.IntRange(0, 3).Draw(t, "keep"),
+	}
+})
+
+func (m *model) perform(j *journal.Journal, a action, number int) error {
+	if a.rotate {
+		return m.rotate(j, a, number)
+	}
+	m.attempted = slices.Clone(m.records)
+	for i, size := range a.sizes {
+		record := fmt.Sprintf("%d.%d%s", number, i, bytes.Repeat([]byte{'x'}, size))
+		j.Append([]byte(record))
+		m.attempted = append(m.attempted, record)
+	}
+	if err := j.Sync(); err != nil {
+		return err
+	}
+	m.records = m.attempted
+	return nil
+}
+
+// rotate changes no content: the snapshot takes over all but the kept records.
+func (m *model) rotate(j *journal.Journal, a action, number int) error {
+	kept := m.records[len(m.records)-min(a.keep, len(m.records)):]
+	next := model{snapshot: fmt.Sprintf("s%d", number), records: slices.Clone(kept)}
+	written, err := j.WriteSnapshot([]byte(next.snapshot))
+	if err != nil {
+		return nil
+	}
+	var records [][]byte
+	for _, record := range kept {
+		records = append(records, []byte(record))
+	}
+	before := *m
+	if err := j.Rotate(written, records...); err == nil {
+		*m = next
+	} else if errors.Is(err, journal.ErrFailed) {
+		*m = model{snapshot: before.snapshot + "|" + next.snapshot, records: before.records, attempted: next.records}
+		return err
+	}
+	return nil
+}
+
+// check compares a recovery with the model; either the acknowledged or the attempted state is right.
+func (m *model) check(t *rapid.T, recovered journal.Recovered) {
+	var records []string
+	for _, record := range recovered.Records {
+		records = append(records, string(record))
+	}
+	snapshots := bytes.Split([]byte(m.snapshot), []byte("|"))
+	isSnapshot := slices.ContainsFunc(snapshots, func(s []byte) bool { return bytes.Equal(s, recovered.Snapshot) })
+	isRecords := slices.Equal(records, m.records) || slices.Equal(records, m.attempted)
+	if !isSnapshot || !isRecords {
+		t.Fatalf("recovered %q with %d records, acknowledged %q with %d", recovered.Snapshot, len(records), m.snapshot, len(m.records))
+	}
+	*m = model{snapshot: string(recovered.Snapshot), records: records}
+}
+
+// runUntilFault performs all actions with a fault at one operation and reports whether it was met.
+func runUntilFault(t *rapid.T, script []action, kind fault, failAt int) bool {
+	fsys := newFaultFS(uint64(failAt))
+	fsys.kind = kind
+	fsys.failAt = failAt
+	var m model
+	j, _, err := journal.Open(fsys)
+	for number := 0; number < len(script) && err == nil; number++ {
+		err = m.perform(j, script[number], number)
+	}
+	if err != nil && j != nil {
+		j.Append([]byte("after the failure"))
+		if again := j.Sync(); !errors.Is(again, journal.ErrFailed) {
+			t.Fatalf("a failed journal took a record: %v", again)
+		}
+	}
+	met := fsys.ops > failAt
+	for round := range 3 {
+		killed := round == 0 && failAt%2 == 1
+		if killed {
+			fsys.revive()
+		} else {
+			fsys.restart()
+		}
+		j, recovered, err := journal.Open(fsys)
+		if err != nil {
+			t.Fatalf("opening after %s at operation %d: %v", kind, failAt, err)
+		}
+		m.check(t, recovered)
+		if killed {
+			continue
+		}
+		if err := m.perform(j, action{sizes: []int{3}}, len(script)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return met
+}
+
+func TestFaultAtEveryPointLosesNothingAcknowledged(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		script := rapid.SliceOfN(actions, 1, 8).Draw(t, "script")
+		kind := rapid.SampledFrom([]fault{crash, fullDisk, failSync}).Draw(t, "fault")
+		failAt := 0
+		for runUntilFault(t, script, kind, failAt) {
+			failAt++
+		}
+	})
+}
+
+// filled returns a folder whose log holds three synced frames.
+func filled(t testing.TB) *faultFS {
+	fsys := newFaultFS(1)
+	j, _, err := journal.Open(fsys)
+	for i := 0; i < 3 && err == nil; i++ {
+		j.Append(bytes.Repeat([]byte{'a' + byte(i)}, 700), []byte("last"))
+		err = j.Sync()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fsys
+}
+
+func TestEveryFlippedBitIsFound(t *testing.T) {
+	for name, file := range filled(t).names {
+		for at := range file.data {
+			fsys := filled(t)
+			fsys.names[name].data[at] ^= 1 << (at % 8)
+			_, _, err := journal.Open(fsys)
+			if !errors.Is(err, journal.ErrCorrupt) && !errors.Is(err, journal.ErrNewerFormat) {
+				t.Fatalf("flipped bit of byte %d of %s: %v", at, name, err)
+			}
+		}
+	}
+}
+
+func TestLostEarlierSectorIsFound(t *testing.T) {
+	fsys := filled(t)
+	clear(fsys.names["log-0000000000000000"].data[sector : 2*sector])
+	if _, _, err := journal.Open(fsys); !errors.Is(err, journal.ErrCorrupt) {
+		t.Fatal(err)
+	}
+}
+
+func TestNewerFormatIsRefused(t *testing.T) {
+	fsys := filled(t)
+	header := []byte("sapphire\x02\x00\x00\x00")
+	header = binary.LittleEndian.AppendUint32(header, crc32.Checksum(header, crc32.MakeTable(crc32.Castagnoli)))
+	for name := range fsys.names {
+		copy(fsys.names[name].data, header)
+	}
+	if _, _, err := journal.Open(fsys); !errors.Is(err, journal.ErrNewerFormat) {
+		t.Fatal(err)
+	}
+}
+
+func TestMissingFilesAreCorrupt(t *testing.T) {
+	for name := range filled(t).names {
+		fsys := filled(t)
+		delete(fsys.names, name)
+		if _, _, err := journal.Open(fsys); !errors.Is(err, journal.ErrCorrupt) {
+			t.Errorf("without %s: %v", name, err)
+		}
+	}
+}
+
+func TestFolderIsLockedAndKeepsRecords(t *testing.T) {
+	path := t.TempDir()
+	for round := range 3 {
+		folder, err := journal.NewFolder(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := journal.NewFolder(path); !errors.Is(err, journal.ErrLocked) {
+			t.Fatalf("second lock: %v", err)
+		}
+		j, recovered, err := journal.Open(folder)
+		if err != nil || len(recovered.Records) != round {
+			t.Fatalf("round %d: %d records, %v", round, len(recovered.Records), err)
+		}
+		j.Append([]byte("record"))
+		written, err := j.WriteSnapshot([]byte("state"))
+		if err := errors.Join(err, j.Sync()); err != nil {
+			t.Fatal(err)
+		}
+		if err := j.Rotate(written, slices.Repeat([][]byte{[]byte("r")}, round+1)...); err != nil {
+			t.Fatal(err)
+		}
+		if err := errors.Join(j.Close(), folder.Close()); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func FuzzOpen(f *testing.F) {
+	whole := filled(f)
+	log, snapshot := whole.names["log-0000000000000000"].data, whole.names["snapshot-0000000000000000"].data
+	f.Add(log, snapshot)
+	f.Add(log[:len(log)-5], snapshot)
+	f.Fuzz(func(t *testing.T, log, snapshot []byte) {
+		fsys := newFaultFS(1)
+		fsys.names["log-0000000000000000"] = &content{data: log, synced: len(log)}
+		fsys.names["snapshot-0000000000000000"] = &content{data: snapshot, synced: len(snapshot)}
+		_, first, err := journal.Open(fsys)
+		if err != nil {
+			return
+		}
+		_, second, err := journal.Open(fsys)
+		if err != nil || second.CutBytes != 0 || len(first.Records) != len(second.Records) {
+			t.Fatalf("opened again: %d records after %d, cut %d, %v", len(second.Records), len(first.Records), second.CutBytes, err)
+		}
+	})
+}
--- a/journal/open.go
+++ b/journal/open.go
@@ -1,10 +1,9 @@
 package journal
 
 import (
+	"fmt"
 	"slices"
 	"strings"
-
-	"github.com/joomcode/errorx"
 )
 
 // Recovered is what a journal held when it was opened.
@@ -23,7 +22,7 @@
 func Open(fsys FS) (*Journal, Recovered, error) {
 	names, err := fsys.List()
 	if err != nil {
-		return nil, Recovered{}, errorx.Decorate(err, "listing the data folder")
+		return nil, Recovered{}, fmt.Errorf("listing the data folder: %w", err)
 	}
 	current := latestSnapshot(names)
 	if current == "" {
@@ -46,7 +45,7 @@
 	recovered := Recovered{}
 	data, err := j.fsys.Read(snapshotName(j.generation))
 	if err != nil {
-		return recovered, errorx.Decorate(err, "reading the snapshot")
+		return recovered, fmt.Errorf("reading the snapshot: %w", err)
 	}
 	if recovered.Snapshot, err = decodeSnapshot(snapshotName(j.generation), data); err != nil {
 		return recovered, err
@@ -54,25 +53,25 @@
 	log := logName(j.generation)
 	data, err = j.fsys.Read(log)
 	if err != nil {
-		return recovered, errorx.Decorate(ErrCorrupt, "reading %s: %v", log, err)
+		return recovered, fmt.Errorf("reading %s: %v: %w", log, err, ErrCorrupt)
 	}
 	if err := checkFileHeader(log, data); err != nil {
 		return recovered, err
 	}
 	records, size, frames, err := decodeFrames(data[fileHeaderSize:], fileHeaderSize)
 	if err != nil {
-		return recovered, errorx.Decorate(err, "reading %s", log)
+		return recovered, fmt.Errorf("reading %s: %w", log, err)
 	}
 	recovered.Records = records
 	j.size = int64(fileHeaderSize + size)
 	j.frames = frames
 	if recovered.CutBytes = int64(len(data)) - j.size; recovered.CutBytes > 0 {
 		if err := j.fsys.Truncate(log, j.size); err != nil {
-			return recovered, errorx.Decorate(err, "cutting the torn end of %s", log)
+			return recovered, fmt.Errorf("cutting the torn end of %s: %w", log, err)
 		}
 	}
 	if j.log, err = j.fsys.Append(log); err != nil {
-		return recovered, errorx.Decorate(err, "opening %s", log)
+		return recovered, fmt.Errorf("opening %s: %w", log, err)
 	}
 	return recovered, j.settle()
 }
@@ -80,10 +79,10 @@
 // settle syncs what a killed process may have left written but not synced.
 func (j *Journal) settle() error {
 	if err := j.log.Sync(); err != nil {
-		return errorx.Decorate(err, "syncing the log")
+		return fmt.Errorf("syncing the log: %w", err)
 	}
 	if err := j.fsys.SyncFolder(); err != nil {
-		return errorx.Decorate(err, "syncing the data folder")
+		return fmt.Errorf("syncing the data folder: %w", err)
 	}
 	return nil
 }
@@ -96,16 +95,16 @@
 		}
 		data, err := fsys.Read(name)
 		if err != nil {
-			return nil, Recovered{}, errorx.Decorate(err, "reading %s", name)
+			return nil, Recovered{}, fmt.Errorf("reading %s: %w", name, err)
 		}
 		if len(data) > fileHeaderSize {
-			return nil, Recovered{}, errorx.Decorate(ErrCorrupt, "reading %s: its snapshot is missing", name)
+			return nil, Recovered{}, fmt.Errorf("reading %s: its snapshot is missing: %w", name, ErrCorrupt)
 		}
 	}
 	j := &Journal{fsys: fsys}
 	log, size, err := createLog(fsys, logName(0), nil)
 	if err != nil {
-		return nil, Recovered{}, errorx.Decorate(err, "creating the first log")
+		return nil, Recovered{}, fmt.Errorf("creating the first log: %w", err)
 	}
 	j.log = log
 	j.size = size
@@ -122,10 +121,10 @@
 		return err
 	}
 	if err := j.fsys.Rename(written.name, snapshotName(0)); err != nil {
-		return errorx.Decorate(err, "placing the first snapshot")
+		return fmt.Errorf("placing the first snapshot: %w", err)
 	}
 	if err := j.fsys.SyncFolder(); err != nil {
-		return errorx.Decorate(err, "syncing the data folder")
+		return fmt.Errorf("syncing the data folder: %w", err)
 	}
 	return nil
 }
--- a/journal/snapshot.go
+++ b/journal/snapshot.go
@@ -1,6 +1,6 @@
 package journal
 
-import "github.com/joomcode/errorx"
+import "fmt"
 
 // A WrittenSnapshot is a snapshot that lasts but is not yet in force.
 type WrittenSnapshot struct {
@@ -12,7 +12,7 @@
 	name := temporaryName(j.temporary.Add(1))
 	if err := writeFile(j.fsys, name, encodeSnapshotHeader(body), body); err != nil {
 		_ = j.fsys.Remove(name)
-		return nil, errorx.Decorate(err, "writing a snapshot")
+		return nil, fmt.Errorf("writing a snapshot: %w", err)
 	}
 	return &WrittenSnapshot{name: name}, nil
 }
@@ -24,12 +24,12 @@
 		return j.failure
 	}
 	if len(j.pending) > 0 {
-		return errorx.Decorate(ErrUnsynced, "rotating the log")
+		return fmt.Errorf("rotating the log: %w", ErrUnsynced)
 	}
 	next := j.generation + 1
 	log, size, err := createLog(j.fsys, logName(next), records)
 	if err != nil {
-		return errorx.Decorate(err, "creating log %d", next)
+		return fmt.Errorf("creating log %d: %w", next, err)
 	}
 	if err := j.fsys.Rename(snapshot.name, snapshotName(next)); err != nil {
 		_ = log.Close()
--- a/replica/codec.go
+++ b/replica/codec.go
@@ -1,11 +1,10 @@
 package replica
 
 import (
+	"fmt"
 	"net/netip"
 	"time"
 
-	"github.com/joomcode/errorx"
-
 	"sapphirespread.example/replica/replicapb"
 )
 
@@ -25,16 +24,16 @@
 func DecodeEntry(encoded *replicapb.Entry) (Entry, error) {
 	members, err := decodeMembers(encoded.GetMembers())
 	if err != nil {
-		return Entry{}, errorx.Decorate(err, "decoding entry %d", encoded.GetIndex())
+		return Entry{}, fmt.Errorf("decoding entry %d: %w", encoded.GetIndex(), err)
 	}
 	kind := EntryKind(encoded.GetKind())
 	switch kind {
 	case CommandEntry, MembersEntry, EmptyEntry:
 	default:
-		return Entry{}, errorx.Decorate(ErrInvalid, "decoding entry %d: unknown kind %q", encoded.GetIndex(), kind)
+		return Entry{}, fmt.Errorf("decoding entry %d: unknown kind %q: %w", encoded.GetIndex(), kind, ErrInvalid)
 	}
 	if encoded.GetIndex() == 0 || encoded.GetTerm() == 0 {
-		return Entry{}, errorx.Decorate(ErrInvalid, "decoding an entry: index and term must not be zero")
+		return Entry{}, fmt.Errorf("decoding an entry: index and term must not be zero: %w", ErrInvalid)
 	}
 	return Entry{
 		Index:   encoded.GetIndex(),
@@ -61,7 +60,7 @@
 func DecodeSnapshot(encoded *replicapb.Snapshot) (Snapshot, error) {
 	members, err := decodeMembers(encoded.GetMembers())
 	if err != nil {
-		return Snapshot{}, errorx.Decorate(err, "decoding snapshot %d", encoded.GetIndex())
+		return Snapshot{}, fmt.Errorf("decoding snapshot %d: %w", encoded.GetIndex(), err)
 	}
 	return Snapshot{
 		Index:   encoded.GetIndex(),
@@ -110,16 +109,16 @@
 func decodeMember(encoded *replicapb.Member) (Member, error) {
 	address, err := netip.ParseAddrPort(encoded.GetAddress())
 	if err != nil {
-		return Member{}, errorx.Decorate(ErrInvalid, "decoding member %q: %v", encoded.GetName(), err)
+		return Member{}, fmt.Errorf("decoding member %q: %v: %w", encoded.GetName(), err, ErrInvalid)
 	}
 	role := Role(encoded.GetRole())
 	switch role {
 	case Voter, Learner, Returning:
 	default:
-		return Member{}, errorx.Decorate(ErrInvalid, "decoding member %q: unknown role %q", encoded.GetName(), role)
+		return Member{}, fmt.Errorf("decoding member %q: unknown role %q: %w", encoded.GetName(), role, ErrInvalid)
 	}
 	if encoded.GetId() == 0 {
-		return Member{}, errorx.Decorate(ErrInvalid, "decoding member %q: id is zero", encoded.GetName())
+		return Member{}, fmt.Errorf("decoding member %q: id is zero: %w", encoded.GetName(), ErrInvalid)
 	}
 	return Member{Name: encoded.GetName(), ID: ID(encoded.GetId()), Address: address, Role: role}, nil
 }
--- a/replica/messagecodec.go
+++ b/replica/messagecodec.go
@@ -1,10 +1,9 @@
 package replica
 
 import (
+	"fmt"
 	"net/netip"
 
-	"github.com/joomcode/errorx"
-
 	"sapphirespread.example/replica/replicapb"
 )
 
@@ -77,11 +76,11 @@
 func DecodeMessage(encoded *replicapb.Message) (Message, error) {
 	address, err := netip.ParseAddrPort(encoded.GetReplyTo())
 	if err != nil {
-		return Message{}, errorx.Decorate(ErrInvalid, "decoding the sender of a message: %v", err)
+		return Message{}, fmt.Errorf("decoding the sender of a message: %v: %w", err, ErrInvalid)
 	}
 	body, err := decodeBody(encoded)
 	if err != nil {
-		return Message{}, errorx.Decorate(err, "decoding a message from %s", address)
+		return Message{}, fmt.Errorf("decoding a message from %s: %w", address, err)
 	}
 	return Message{
 		From:    ID(encoded.GetFrom()),
@@ -126,7 +125,7 @@
 	case *replicapb.Message_AnnouncementAnswer:
 		return AnnouncementAnswer{Name: body.AnnouncementAnswer.GetName()}, nil
 	default:
-		return nil, errorx.Decorate(ErrInvalid, "reading a body of unknown kind")
+		return nil, fmt.Errorf("reading a body of unknown kind: %w", ErrInvalid)
 	}
 }
 
@@ -143,7 +142,7 @@
 			return nil, err
 		}
 		if entry.Index != decoded.PreviousIndex+uint64(i)+1 {
-			return nil, errorx.Decorate(ErrInvalid, "reading entry %d after %d", entry.Index, decoded.PreviousIndex)
+			return nil, fmt.Errorf("reading entry %d after %d: %w", entry.Index, decoded.PreviousIndex, ErrInvalid)
 		}
 		decoded.Entries = append(decoded.Entries, entry)
 	}
@@ -163,7 +162,7 @@
 func decodeAnnouncement(encoded *replicapb.Announcement) (Body, error) {
 	address, err := netip.ParseAddrPort(encoded.GetAddress())
 	if err != nil {
-		return nil, errorx.Decorate(ErrInvalid, "decoding the announcement of %q: %v", encoded.GetName(), err)
+		return nil, fmt.Errorf("decoding the announcement of %q: %v: %w", encoded.GetName(), err, ErrInvalid)
 	}
 	return Announcement{Name: encoded.GetName(), Address: address}, nil
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -1,10 +1,9 @@
 package replica
 
 import (
+	"fmt"
 	"net/netip"
 	"time"
-
-	"github.com/joomcode/errorx"
 )
 
 // A Replica is called by one goroutine.
@@ -66,8 +65,8 @@
 func (r *Replica) load(entries []Entry) error {
 	for _, entry := range entries {
 		if entry.Index != r.log.last()+1 || entry.Term < r.log.lastTerm() || entry.Term > r.hard.Term {
-			return errorx.Decorate(ErrInvalid, "loading entry %d of term %d after entry %d of term %d in term %d",
-				entry.Index, entry.Term, r.log.last(), r.log.lastTerm(), r.hard.Term)
+			return fmt.Errorf("loading entry %d of term %d after entry %d of term %d in term %d: %w",
+				entry.Index, entry.Term, r.log.last(), r.log.lastTerm(), r.hard.Term, ErrInvalid)
 		}
 		r.append(entry)
 	}
