Keep and choose announced targets

Cause: daemons need to know the targets of the services that they call, and to pick one for each call without control on the path. Ruled out: whole lists on each change (bytes grow with the square of the fleet), and replacing a target's observations with each announcement (calls in flight would be lost from the count).

--- /dev/null
+++ b/target/chooser_test.go
@@ -0,0 +1,174 @@
+package target_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"sapphirespread.example/priority"
+	"sapphirespread.example/target"
+)
+
+func fleet(t testing.TB, domains ...string) (*target.Table, *target.Chooser) {
+	t.Helper()
+	table := target.NewTable()
+	var changes []target.Change
+	for i, domain := range domains {
+		to := announced(fmt.Sprint("t", i), "wind", 1, target.Ready)
+		to.FailureDomain = domain
+		changes = append(changes, target.Change{Target: to})
+	}
+	if err := table.Apply(1, 0, 1, true, changes); err != nil {
+		t.Fatal(err)
+	}
+	return table, target.NewChooser(table, target.WithFailureDomain("east"), target.WithDaemon("own"))
+}
+
+// chosen counts the targets of n choices.
+func chosen(c *target.Chooser, now time.Time, n int) map[string]int {
+	random := rand.New(rand.NewPCG(1, 2))
+	counts := make(map[string]int)
+	for range n {
+		if choice, ok, _ := c.Choose(now, random.Uint64(), "wind", random.Uint64(), 0, nil); ok {
+			counts[choice.Target.Name]++
+		}
+	}
+	return counts
+}
+
+func TestOwnDomainFirstWhileItServes(t *testing.T) {
+	_, c := fleet(t, "east", "east", "west", "west")
+	if got := chosen(c, start, 100); got["t0"]+got["t1"] != 100 {
+		t.Errorf("choices %v, want the own failure domain alone", got)
+	}
+	pressed := priority.Level{Priority: 3, Share: 0.5, ValidUntil: start.Add(time.Second)}
+	for _, name := range []string{"t0", "t1"} {
+		c.Sent(start, name)
+		c.Answered(start, name, target.Observation{Kind: target.OK, Latency: time.Millisecond, Level: pressed})
+	}
+	if got := chosen(c, start, 100); got["t2"]+got["t3"] == 0 {
+		t.Errorf("choices %v, want others once the own failure domain is pressed", got)
+	}
+}
+
+func TestDrainedAndSilentGetNothing(t *testing.T) {
+	table, c := fleet(t, "east", "east", "east")
+	table.Draining("t0", 1)
+	c.Sent(start, "t1")
+	late := start.Add(3 * time.Second)
+	if got := chosen(c, late, 100); got["t2"] != 100 {
+		t.Errorf("choices %v, want t2 alone", got)
+	}
+	c.Heard(late, "t1")
+	c.Sent(late, "t2")
+	c.Sent(late, "t2")
+	if got := chosen(c, late, 100); got["t1"] == 0 {
+		t.Errorf("choices %v, want t1 again after a sign of life", got)
+	}
+	stale := []target.Change{{Target: announced("t0", "wind", 1, target.Ready)}}
+	if err := table.Apply(1, 1, 2, false, stale); err != nil {
+		t.Fatal(err)
+	}
+	if got := chosen(c, late, 100); got["t0"] != 0 {
+		t.Errorf("choices %v: a late announcement undid a drain", got)
+	}
+}
+
+func TestFastErrorsDoNotAttract(t *testing.T) {
+	_, c := fleet(t, "east", "east")
+	failing := 0
+	random := rand.New(rand.NewPCG(3, 4))
+	now := start
+	for range 1000 {
+		now = now.Add(time.Millisecond)
+		choice, ok, _ := c.Choose(now, random.Uint64(), "wind", 0, 0, nil)
+		if !ok {
+			t.Fatal("no target")
+		}
+		c.Sent(now, choice.Target.Name)
+		o := target.Observation{Kind: target.OK, Latency: 5 * time.Millisecond}
+		if choice.Target.Name == "t0" {
+			failing++
+			o = target.Observation{Kind: target.Failed, Latency: 100 * time.Microsecond}
+		}
+		c.Answered(now, choice.Target.Name, o)
+	}
+	if failing > 50 {
+		t.Errorf("the failing target got %d of 1000 calls, want at most 50", failing)
+	}
+}
+
+func TestEjectionHasAFloor(t *testing.T) {
+	_, c := fleet(t, "east", "east", "east", "east")
+	for i := range 4 {
+		for range 20 {
+			c.Answered(start, fmt.Sprint("t", i), target.Observation{Kind: target.Failed})
+		}
+	}
+	if got := chosen(c, start, 100); len(got) != 2 {
+		t.Errorf("choices %v, want half of the targets still in use", got)
+	}
+}
+
+// TestShedsWhereAllTargetsShed checks that one hash is shed by all daemons alike, and only by every target.
+func TestShedsWhereAllTargetsShed(t *testing.T) {
+	_, c := fleet(t, "east", "east")
+	set := func(name string, share float64) {
+		level := priority.Level{Priority: 1, Share: share, ValidUntil: start.Add(time.Second)}
+		c.Answered(start, name, target.Observation{Kind: target.OK, Latency: time.Millisecond, Level: level})
+	}
+	set("t0", 1)
+	set("t1", 0.3)
+	shed := 0
+	for hash := range uint64(1000) {
+		_, ok, isShed := c.Choose(start, 7, "wind", hash*0x9e3779b97f4a7c15, 1, nil)
+		if ok == isShed {
+			t.Fatal("neither chosen nor shed")
+		}
+		if isShed {
+			shed++
+		}
+	}
+	if shed < 250 || shed > 350 {
+		t.Errorf("%d of 1000 shed, want about 300", shed)
+	}
+	if _, ok, _ := c.Choose(start, 7, "wind", 0, 0, nil); !ok {
+		t.Error("a more important request was shed")
+	}
+}
+
+func TestExcludedAndUnreachable(t *testing.T) {
+	_, c := fleet(t, "east", "east", "east")
+	c.Answered(start, "t0", target.Observation{Kind: target.Unreachable})
+	choice, ok, _ := c.Choose(start, 1, "wind", 0, 0, []string{"t1"})
+	if !ok || choice.Target.Name != "t2" {
+		t.Errorf("chose %+v, want t2", choice)
+	}
+	if got := chosen(c, start.Add(2*time.Second), 300); got["t0"] == 0 {
+		t.Errorf("choices %v, want t0 tried again after its ejection", got)
+	}
+}
+
+func TestSlowStart(t *testing.T) {
+	table, c := fleet(t, "east", "east", "east")
+	fresh := announced("t9", "wind", 1, target.Ready)
+	if err := table.Apply(1, 1, 2, false, []target.Change{{Target: fresh}}); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 3 {
+		for range 5 {
+			c.Sent(start, fmt.Sprint("t", i))
+		}
+	}
+	early := chosen(c, start, 400)
+	if early["t9"] != 0 && early["t9"] >= 200 {
+		t.Errorf("choices %v, want a fresh target to start slowly", early)
+	}
+	for range 6 {
+		c.Sent(start, "t9")
+	}
+	if late := chosen(c, start.Add(time.Second), 400); late["t9"] != 0 {
+		t.Errorf("choices %v, want nothing beyond its weight for a fresh target", late)
+	}
+}
--- /dev/null
+++ b/target/chooseroption.go
@@ -0,0 +1,31 @@
+package target
+
+import "time"
+
+// A ChooserOption configures a Chooser.
+type ChooserOption func(*Chooser)
+
+const (
+	defaultSilence   = 2 * time.Second
+	defaultSlowStart = 10 * time.Second
+)
+
+// WithFailureDomain sets the chooser's own failure domain, whose targets go first while they can serve.
+func WithFailureDomain(name string) ChooserOption {
+	return func(c *Chooser) { c.failureDomain = name }
+}
+
+// WithDaemon sets the chooser's own daemon, whose target is local.
+func WithDaemon(name string) ChooserOption {
+	return func(c *Chooser) { c.daemon = name }
+}
+
+// WithSilence sets how long a target with calls in flight may be quiet before it gets no new call.
+func WithSilence(d time.Duration) ChooserOption {
+	return func(c *Chooser) { c.silence = d }
+}
+
+// WithSlowStart sets how long a target that joins takes to its full weight.
+func WithSlowStart(d time.Duration) ChooserOption {
+	return func(c *Chooser) { c.slowStart = d }
+}
--- /dev/null
+++ b/target/member.go
@@ -0,0 +1,58 @@
+package target
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"sapphirespread.example/priority"
+)
+
+// member is one target at a daemon with what the daemon has observed of it. The published fields are
+// atomic, so that a choice takes no lock; mu guards the rest.
+type member struct {
+	announced atomic.Pointer[Target]
+	cold      bool // joined a service that was known before
+	drained   atomic.Bool
+
+	inFlight     atomic.Int64
+	firstSeen    atomic.Int64 // offsets from the chooser's start, in nanoseconds
+	quietSince   atomic.Int64
+	ejectedUntil atomic.Int64
+	latency      atomic.Int64 // peak-sensitive moving average, in nanoseconds
+	answeredAt   atomic.Int64
+	best         atomic.Int64 // lowest recent latency, in nanoseconds
+	refusing     atomic.Int64 // moving share of refused answers, in millionths
+	refusedAt    atomic.Int64
+	level        atomic.Pointer[priority.Level]
+
+	mu          sync.Mutex
+	failures    float64 // moving share of failed answers
+	failedInRow int
+	ejections   int
+}
+
+func newMember(t Target, cold bool) *member {
+	m := &member{cold: cold}
+	m.announced.Store(&t)
+	m.drained.Store(t.State == Draining)
+	return m
+}
+
+func (m *member) target() *Target {
+	return m.announced.Load()
+}
+
+// update takes a later announcement of the same incarnation.
+func (m *member) update(t Target) {
+	t.State = laterState(m.target().State, t.State)
+	if t.State == Draining {
+		m.drained.Store(true)
+	}
+	m.announced.Store(&t)
+}
+
+func (m *member) sheds(now time.Time, level int, wholeHash uint64) bool {
+	l := m.level.Load()
+	return l != nil && l.Sheds(now, level, wholeHash)
+}
--- /dev/null
+++ b/target/observation.go
@@ -0,0 +1,26 @@
+package target
+
+import (
+	"time"
+
+	"sapphirespread.example/priority"
+)
+
+// An AnswerKind is how a call to a target ended, as its sender saw it.
+type AnswerKind string
+
+// The kinds of answers.
+const (
+	OK          AnswerKind = "ok"
+	Refused     AnswerKind = "refused"     // not run, by the target's admission
+	Failed      AnswerKind = "failed"      // ran or may have run, and failed
+	Unreachable AnswerKind = "unreachable" // no connection to the target's daemon
+)
+
+// An Observation is what one answer tells about its target.
+type Observation struct {
+	Latency  time.Duration
+	Kind     AnswerKind
+	Level    priority.Level
+	Draining bool
+}
--- /dev/null
+++ b/target/observe.go
@@ -0,0 +1,146 @@
+package target
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	silenceLatencies   = 4
+	slowStartFloor     = 0.1
+	latencyHalfLife    = 500 * time.Millisecond
+	idleHalfLife       = 2 * time.Second
+	bestDoubles        = 10 * time.Second
+	refusalMemory      = 500 * time.Millisecond
+	answerWeight       = 0.1 // of one answer in moving shares
+	failedLatency      = 50 * time.Millisecond
+	ejectAfterFailures = 5
+	ejectFailureShare  = 0.5
+	ejectionBase       = time.Second
+	ejectionCeiling    = 30 * time.Second
+	millionths         = 1e6
+)
+
+// settle takes one call off the in-flight count; a call sent to an earlier incarnation has none left.
+func (m *member) settle() {
+	for {
+		n := m.inFlight.Load()
+		if n <= 0 || m.inFlight.CompareAndSwap(n, n-1) {
+			return
+		}
+	}
+}
+
+// observe takes one answer and reports whether the target is an outlier by its failures.
+func (m *member) observe(at int64, o Observation) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if o.Kind != Unreachable {
+		m.quietSince.Store(at)
+		m.takeLevel(o)
+	}
+	m.observeRefusal(at, o.Kind == Refused)
+	switch o.Kind {
+	case OK:
+		m.observeLatency(at, int64(o.Latency))
+		m.observeOutcome(false)
+	case Failed:
+		// A fast error must not look like a fast answer.
+		m.observeLatency(at, max(int64(o.Latency), int64(failedLatency), m.latency.Load()))
+		m.observeOutcome(true)
+	case Unreachable:
+		m.eject(at)
+		return false
+	case Refused:
+		return false
+	}
+	return m.failedInRow >= ejectAfterFailures || m.failures > ejectFailureShare
+}
+
+func (m *member) takeLevel(o Observation) {
+	held := m.level.Load()
+	if held == nil && o.Level.ValidUntil.IsZero() {
+		return
+	}
+	if held == nil || *held != o.Level {
+		level := o.Level
+		m.level.Store(&level)
+	}
+}
+
+// observeLatency follows a rise at once and a fall by half-life.
+func (m *member) observeLatency(at, latency int64) {
+	latency = max(latency, 1)
+	elapsed := max(at-m.answeredAt.Load(), 0)
+	held := m.latency.Load()
+	if latency < held {
+		keep := halved(elapsed, latencyHalfLife)
+		latency = int64(float64(held)*keep + float64(latency)*(1-keep))
+	}
+	best := m.best.Load()
+	best += int64(float64(best) * float64(elapsed) / float64(bestDoubles))
+	if best == 0 || latency < best {
+		best = latency
+	}
+	m.answeredAt.Store(at)
+	m.latency.Store(latency)
+	m.best.Store(best)
+}
+
+// expectedLatency falls from the moving average to the best recent latency while nothing is answered.
+func (m *member) expectedLatency(at int64) int64 {
+	best := m.best.Load()
+	above := float64(m.latency.Load() - best)
+	return best + int64(above*halved(max(at-m.answeredAt.Load(), 0), idleHalfLife))
+}
+
+func (m *member) observeRefusal(at int64, refused bool) {
+	share := float64(m.refusing.Load()) * (1 - answerWeight)
+	if refused {
+		share += answerWeight * millionths
+		m.refusedAt.Store(at)
+	}
+	m.refusing.Store(int64(share))
+}
+
+// refusalShare returns the share of answers that refuse, or 0 once the last refusal is old.
+func (m *member) refusalShare(at int64) float64 {
+	if at-m.refusedAt.Load() > int64(refusalMemory) {
+		return 0
+	}
+	return float64(m.refusing.Load()) / millionths
+}
+
+func halved(elapsed int64, halfLife time.Duration) float64 {
+	return math.Exp2(-float64(elapsed) / float64(halfLife))
+}
+
+func (m *member) observeOutcome(failed bool) {
+	m.failures *= 1 - answerWeight
+	if !failed {
+		m.failedInRow = 0
+		m.ejections = max(0, m.ejections-1)
+		return
+	}
+	m.failures += answerWeight
+	m.failedInRow++
+}
+
+// ejectOutlier ejects a target for its failures.
+func (m *member) ejectOutlier(at int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.eject(at)
+}
+
+// eject takes the target out of choice, longer each time until it answers again.
+func (m *member) eject(at int64) {
+	if at < m.ejectedUntil.Load() {
+		return
+	}
+	d := min(ejectionBase<<min(m.ejections, 5), ejectionCeiling)
+	m.ejections++
+	m.failedInRow = 0
+	m.failures = 0
+	m.ejectedUntil.Store(at + int64(d))
+}
--- /dev/null
+++ b/target/state.go
@@ -0,0 +1,34 @@
+package target
+
+// A State is the stage of a target's life within one incarnation; it only advances.
+type State string
+
+// The states of a target.
+const (
+	Warming  State = "warming"
+	Ready    State = "ready"
+	Draining State = "draining"
+)
+
+// Valid reports whether s is one of the states.
+func (s State) Valid() bool {
+	return s == Warming || s == Ready || s == Draining
+}
+
+func (s State) rank() int {
+	switch s {
+	case Draining:
+		return 2
+	case Ready:
+		return 1
+	default:
+		return 0
+	}
+}
+
+func laterState(a, b State) State {
+	if a.rank() > b.rank() {
+		return a
+	}
+	return b
+}
