Steady the concurrency limit and the shed level

Change: throughput and capacity by Little's law; a window ends once its mean latency is known to 3%; the best latency rises at once where more runs can't explain it; downward trials only where latency has risen, and cut short once they clearly lose; the queue is scanned for late requests every 10 ms at most.

--- a/priority/admission.go
+++ b/priority/admission.go
@@ -24,6 +24,7 @@
 	running       map[uint64]struct{}
 	service       serviceTime
 	shedder       *shedder
+	droppedAt     time.Time // when late requests were dropped last
 	stats         Stats
 }
 
@@ -71,7 +72,7 @@
 	}
 	a.limiter.done(now, result, len(a.running), a.queue.len() > 0)
 	delete(a.running, id)
-	a.shedder.completed()
+	a.shedder.completed(result.Latency)
 	if !result.Failed {
 		a.service.observe(now, result.Latency)
 	}
@@ -158,7 +159,9 @@
 	if a.queue.len() <= a.capacity() {
 		return verdicts
 	}
-	verdicts = a.dropLate(now, verdicts)
+	if now.Sub(a.droppedAt) >= tickInterval {
+		verdicts = a.dropLate(now, verdicts)
+	}
 	for a.queue.len() > a.capacity() {
 		w := a.queue.victim()
 		a.queue.remove(w)
@@ -169,6 +172,7 @@
 }
 
 func (a *Admission) dropLate(now time.Time, verdicts []Verdict) []Verdict {
+	a.droppedAt = now
 	for _, w := range a.queue.late(now, a.service.expected(now)) {
 		a.queue.remove(w)
 		a.shedder.overflowed()
@@ -179,7 +183,7 @@
 
 // advance lets the shedder close its window; what a rising level sheds upstream doesn't wait here either.
 func (a *Admission) advance(now time.Time, verdicts []Verdict) []Verdict {
-	if !a.shedder.advance(now, a.queue.len(), a.limiter.current()) {
+	if !a.shedder.advance(now, load{a.queue.len(), a.limiter.current(), a.free()}) {
 		return verdicts
 	}
 	lowest, bounded := a.lowestWaiting()
--- a/priority/fake_test.go
+++ b/priority/fake_test.go
@@ -31,6 +31,12 @@
 	workspace       string // only its demand, where set
 }
 
+// step changes the workers, or the slots that are announced, at one time.
+type step struct {
+	at             time.Duration
+	workers, slots int
+}
+
 // backend is a fake backend server with workers of its own and a first-come queue, behind an admission.
 type backend struct {
 	admission *priority.Admission
@@ -38,6 +44,8 @@
 	workers   int
 	service   time.Duration
 	cold      time.Duration // time to full speed
+	varied    bool          // exponential service times
+	steps     []step
 	phases    []phase
 	events    eventHeap
 	now       time.Duration
@@ -99,6 +107,9 @@
 	for i := range flows {
 		b.arrive(i, flows[i])
 	}
+	for _, st := range b.steps {
+		b.at(st.at, func() { b.take(b.step(st)) })
+	}
 	b.tick()
 	for len(b.events) > 0 && b.events[0].at < duration {
 		e := heap.Pop(&b.events).(event)
@@ -108,6 +119,16 @@
 	return b.result
 }
 
+func (b *backend) step(st step) []priority.Verdict {
+	if st.workers > 0 {
+		b.workers = st.workers
+	}
+	if st.slots > 0 {
+		b.admission.Announce(start.Add(b.now), st.slots)
+	}
+	return nil
+}
+
 func (b *backend) arrive(i int, f flow) {
 	rate := f.rate
 	for _, p := range b.phases {
@@ -169,6 +190,9 @@
 	if b.cold > b.now {
 		mean *= 1 + 9*(1-float64(b.now)/float64(b.cold))
 	}
+	if b.varied {
+		return time.Duration(mean * b.random.ExpFloat64())
+	}
 	return time.Duration(mean * (0.5 + b.random.Float64()))
 }
 
--- a/priority/limiter.go
+++ b/priority/limiter.go
@@ -8,14 +8,16 @@
 	rampDivisor     = 4.0 // a cold start begins at this part of the slots
 	windowMinimum   = 50 * time.Millisecond
 	windowMaximum   = time.Second
-	windowRuns      = 100
+	windowRuns      = 50
+	windowMeanError = 0.03
+	windowLatencies = 2
 	windowFewRuns   = 8
 	saturatedShare  = 0.8
 	unusedDecay     = 0.9
 	unusedHeadroom  = 2.0
-	latencyRise     = 2.0 // over the best recent latency: a sign of queueing in the backend server
+	latencyRise     = 2.5 // over the best recent latency: a sign of queueing in the backend server
+	latencySlack    = 1.2 // over the best recent latency: fewer runs at a time can't be faster below
 	failureRise     = 0.1 // share of failed runs that is taken for too many at a time
-	bestLatencyRise = 0.02
 )
 
 // limiter sets the concurrency limit. While the limit holds requests back it tries another one for a
@@ -25,7 +27,7 @@
 	limit   float64
 	slots   int
 	ramping bool
-	best    time.Duration // lowest recent mean latency
+	best    bestLatency
 	window  window
 	steady  float64 // throughput at the limit that is not on trial
 	trial   trial
@@ -48,7 +50,7 @@
 	if slots <= 0 || slots == l.slots {
 		return
 	}
-	if l.best == 0 {
+	if l.best.latency == 0 {
 		l.begin(slots)
 		return
 	}
@@ -85,12 +87,16 @@
 func (l *limiter) windowEnds(now time.Time) bool {
 	elapsed := now.Sub(l.window.start)
 	if l.trial.settling {
-		return elapsed >= max(l.best, l.window.meanLatency())
+		return elapsed >= l.window.meanLatency()
+	}
+	if l.failsEarly() {
+		return true
 	}
 	if elapsed >= windowMaximum {
 		return l.window.finished >= windowFewRuns
 	}
-	return elapsed >= windowMinimum && elapsed >= 2*l.best && l.window.finished >= windowRuns
+	return elapsed >= windowMinimum && elapsed >= windowLatencies*l.window.meanLatency() &&
+		l.window.finished >= windowRuns && l.window.meanError() <= windowMeanError
 }
 
 func (l *limiter) close(now time.Time) {
@@ -101,32 +107,24 @@
 		return
 	}
 	if l.ramping {
-		l.learnBest(now.Sub(w.start), w.meanLatency())
+		l.best.learn(now.Sub(w.start), w)
 		return
 	}
 	if !w.isSaturated() {
 		l.abandonTrial()
-		l.learnBest(now.Sub(w.start), w.meanLatency())
+		l.best.learn(now.Sub(w.start), w)
 		l.shrinkUnused(w.peak)
 		return
 	}
-	throughput := w.throughput(now)
-	if l.trial.running && !l.judge(now, throughput, w.meanLatency()) {
+	throughput := w.throughput()
+	if l.trial.running && !l.judge(now, throughput, w) {
 		return
 	}
 	l.steady = throughput
-	l.learnBest(now.Sub(w.start), w.meanLatency())
+	l.best.learn(now.Sub(w.start), w)
 	l.propose(now, w)
 }
 
-// learnBest keeps the lowest mean latency and lets it rise slowly, so that an old one is forgotten.
-func (l *limiter) learnBest(elapsed, latency time.Duration) {
-	l.best += time.Duration(float64(l.best) * bestLatencyRise * elapsed.Seconds())
-	if l.best == 0 || latency < l.best {
-		l.best = max(latency, 1)
-	}
-}
-
 // shrinkUnused takes back what demand doesn't use above the announced slots.
 func (l *limiter) shrinkUnused(peak int) {
 	wanted := max(float64(l.slots), unusedHeadroom*float64(peak))
--- a/priority/scenario_test.go
+++ b/priority/scenario_test.go
@@ -14,7 +14,8 @@
 )
 
 // TestScenarios replays the recorded cases. Each flow line is "workspace priority share rate deadline",
-// each phase line "phase from to demand service [workspace]"; the output lists the outcomes that are missed.
+// each phase line "phase from to demand service [workspace]"; workers and announced slots change by
+// "workers at n" and "announce at n". The output lists the outcomes that are missed.
 func TestScenarios(t *testing.T) {
 	datadriven.Walk(t, "testdata/scenarios", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
@@ -24,10 +25,13 @@
 	})
 }
 
+const asStated = "as stated\n"
+
 type scenario struct {
 	backend  *backend
 	flows    []flow
 	duration time.Duration
+	workers  int
 	expect   map[string]float64
 	verbose  bool
 }
@@ -43,7 +47,9 @@
 	d.ScanArgs(t, "workers", &s.backend.workers)
 	d.ScanArgs(t, "service", &service)
 	d.MaybeScanArgs(t, "cold", &cold)
+	s.backend.varied = d.HasArg("varied")
 	s.verbose = d.HasArg("verbose")
+	s.workers = s.backend.workers
 	s.backend.service = parseDuration(t, service)
 	if cold != "" {
 		s.backend.cold = parseDuration(t, cold)
@@ -66,6 +72,14 @@
 			p.workspace = fields[5]
 		}
 		s.backend.phases = append(s.backend.phases, p)
+	case "workers", "announce":
+		st := step{at: parseDuration(t, fields[1])}
+		n := &st.workers
+		if fields[0] == "announce" {
+			n = &st.slots
+		}
+		_, err = fmt.Sscan(fields[2], n)
+		s.backend.steps = append(s.backend.steps, st)
 	case "expect":
 		var value float64
 		_, err = fmt.Sscan(fields[2], &value)
@@ -104,7 +118,7 @@
 		}
 	}
 	if missed.Len() == 0 {
-		return "as stated\n"
+		return asStated
 	}
 	return missed.String()
 }
@@ -135,7 +149,13 @@
 	if p := s.backend.phases[0]; p.service > 0 {
 		service *= p.service
 	}
-	return float64(s.backend.workers) / service * float64(to-from) * bucketLength.Seconds()
+	workers := s.workers
+	for _, st := range s.backend.steps {
+		if st.workers > 0 && st.at <= s.backend.phases[0].from {
+			workers = st.workers
+		}
+	}
+	return float64(workers) / service * float64(to-from) * bucketLength.Seconds()
 }
 
 func (s *scenario) goodput(r result) float64 {
--- a/priority/shedder.go
+++ b/priority/shedder.go
@@ -6,8 +6,12 @@
 	shedWindow       = 25 * time.Millisecond
 	shedLag          = 4 // windows until upstream daemons heed a level
 	shedFloor        = 0.05
-	shedQueuePart    = 8 // a part of the limit that may wait without pressure
-	shedApproach     = 0.5
+	shedQueuePart    = 4 // the part of the limit that is to wait under overload
+	shedQueueMinimum = 2.0
+	shedDrain        = 150 * time.Millisecond // in which surplus waiting requests are to drain
+	shedDrainMaximum = 0.05                   // of the capacity
+	shedFillMaximum  = 0.25
+	latencyKeep      = 0.8
 	shedRecover      = 1.15
 	shedRecoverStep  = 0.02
 	demandKeep       = 0.8 // of the old demand in each window
@@ -18,20 +22,28 @@
 // openLevel sheds nothing.
 var openLevel = Level{Priority: priorities}
 
+// load is what the target holds at the end of a window.
+type load struct {
+	waiting int
+	limit   int
+	free    bool
+}
+
 // shedder works out the level: it admits a share of the estimated demand, most important first, that
 // follows the completions while requests stay waiting, and grows again as soon as they don't.
 type shedder struct {
-	start     time.Time
-	arrivals  [priorities]int
-	finished  int
-	overflow  int
-	idle      bool // nothing waited at some point of the window
-	admitted  float64
-	recent    [shedLag]Level // that upstream daemons may still heed
-	recentAt  int
-	demand    [priorities]float64
-	fairness  fairness
-	published Level
+	start       time.Time
+	arrivals    [priorities]int
+	finished    int
+	overflow    int
+	latency     time.Duration // sum over the finished runs
+	meanLatency float64       // seconds
+	admitted    float64
+	recent      [shedLag]Level // that upstream daemons may still heed
+	recentAt    int
+	demand      [priorities]float64
+	fairness    fairness
+	published   Level
 }
 
 func newShedder() *shedder {
@@ -47,8 +59,9 @@
 	s.fairness.arrived(r)
 }
 
-func (s *shedder) completed() {
+func (s *shedder) completed(latency time.Duration) {
 	s.finished++
+	s.latency += latency
 }
 
 func (s *shedder) overflowed() {
@@ -56,10 +69,7 @@
 }
 
 // advance closes the window where it has ended and reports whether it did.
-func (s *shedder) advance(now time.Time, waiting, limit int) bool {
-	if waiting == 0 {
-		s.idle = true
-	}
+func (s *shedder) advance(now time.Time, load load) bool {
 	if s.start.IsZero() {
 		s.start = now
 		return false
@@ -68,13 +78,12 @@
 	if elapsed < shedWindow {
 		return false
 	}
-	s.estimateDemand()
-	s.control(elapsed, waiting, limit)
+	s.estimateDemand(elapsed)
+	s.control(elapsed, load)
 	s.publish()
 	s.start = now
 	s.arrivals = [priorities]int{}
-	s.finished, s.overflow = 0, 0
-	s.idle = waiting == 0
+	s.finished, s.overflow, s.latency = 0, 0, 0
 	return true
 }
 
@@ -84,10 +93,10 @@
 }
 
 // estimateDemand adds to the arrivals what upstream daemons kept back.
-func (s *shedder) estimateDemand() {
+func (s *shedder) estimateDemand(elapsed time.Duration) {
 	for p := range s.arrivals {
 		passed := s.passed(p)
-		arrived := float64(s.arrivals[p])
+		arrived := float64(s.arrivals[p]) * float64(shedWindow) / float64(elapsed)
 		if passed < shedFloor {
 			s.demand[p] = max(s.demand[p]*demandUnseenKeep, arrived)
 			continue
@@ -110,21 +119,40 @@
 	return passed
 }
 
-func (s *shedder) control(elapsed time.Duration, waiting, limit int) {
-	if s.idle && s.overflow == 0 {
+// control sets the admitted share to the capacity by Little's law, less what drains surplus waiting
+// requests; while slots are free it grows at least.
+func (s *shedder) control(elapsed time.Duration, load load) {
+	s.observeLatency()
+	admitted := 0.0
+	if load.waiting == 0 && load.free && s.overflow == 0 {
 		steps := float64(min(elapsed/shedWindow, 8))
-		s.admitted = min(1, s.admitted*(1+(shedRecover-1)*steps)+shedRecoverStep*steps)
-		return
+		admitted = s.admitted*(1+(shedRecover-1)*steps) + shedRecoverStep*steps
+	}
+	demand := s.totalDemand() / shedWindow.Seconds()
+	if demand > 0 && s.meanLatency > 0 {
+		capacity := float64(load.limit) / s.meanLatency
+		admitted = max(admitted, capacity*(1-s.drain(load, capacity))/demand)
 	}
-	demand := s.totalDemand()
-	if waiting <= limit/shedQueuePart+1 && s.overflow == 0 || demand <= 0 {
+	s.admitted = min(1, max(shedFloor, admitted))
+}
+
+// drain returns the share of the capacity that is kept for surplus waiting requests, negative where more
+// are to wait.
+func (s *shedder) drain(load load, capacity float64) float64 {
+	wanted := float64(load.limit)/shedQueuePart + shedQueueMinimum
+	drain := (float64(load.waiting) - wanted) / (capacity * shedDrain.Seconds())
+	return min(max(drain, -shedFillMaximum), shedDrainMaximum)
+}
+
+func (s *shedder) observeLatency() {
+	if s.finished == 0 {
 		return
 	}
-	wanted := float64(s.finished) / demand
-	if wanted < s.admitted {
-		s.admitted += shedApproach * (wanted - s.admitted)
+	latency := s.latency.Seconds() / float64(s.finished)
+	if s.meanLatency == 0 {
+		s.meanLatency = latency
 	}
-	s.admitted = max(s.admitted, shedFloor)
+	s.meanLatency = latencyKeep*s.meanLatency + (1-latencyKeep)*latency
 }
 
 func (s *shedder) totalDemand() float64 {
--- a/priority/trial.go
+++ b/priority/trial.go
@@ -3,15 +3,18 @@
 import "time"
 
 const (
-	stepUp          = 1.25
-	stepDown        = 0.85
-	stepDownHinted  = 0.7
-	gainUp          = 0.4 // of the proportional change in throughput
-	lossDown        = 0.35
-	pauseUpMinimum  = 250 * time.Millisecond
-	pauseDown       = time.Second
-	pauseMaximum    = 8 * time.Second
-	intrinsicMargin = 1.2
+	stepUp           = 1.25
+	stepUpAgain      = 1.5 // after an upward trial that was kept
+	stepDown         = 0.85
+	stepDownHinted   = 0.7
+	gainUp           = 0.4 // of the proportional change in throughput
+	lossDown         = 0.35
+	lossEarly        = 0.6
+	earlyRuns        = 20
+	earlyMeanError   = 0.08
+	pauseUpMinimum   = 250 * time.Millisecond
+	pauseDownMinimum = 2 * time.Second
+	pauseMaximum     = 16 * time.Second
 )
 
 // trial is one attempt at another limit.
@@ -19,6 +22,7 @@
 	running   bool
 	settling  bool // runs that began under the old limit still end
 	hinted    bool
+	climbing  bool
 	before    float64 // limit to go back to
 	upAt      time.Time
 	downAt    time.Time
@@ -29,18 +33,27 @@
 // propose starts a trial where one is due: downwards where there are signs of too many runs at a time,
 // upwards otherwise.
 func (l *limiter) propose(now time.Time, w window) {
-	hinted := float64(w.meanLatency()) > latencyRise*float64(l.best) || w.failedShare() > failureRise
-	downDue := !now.Before(l.trial.downAt)
+	rise := float64(w.meanLatency()) / float64(l.best.latency)
+	hinted := rise > latencyRise || w.failedShare() > failureRise
+	downDue := !now.Before(l.trial.downAt) && (hinted || rise > latencySlack)
 	switch {
 	case hinted && downDue:
 		l.try(stepDownHinted, true)
 	case !now.Before(l.trial.upAt):
-		l.try(stepUp, false)
+		l.try(l.trial.stepUp(), false)
 	case downDue:
 		l.try(stepDown, false)
 	}
 }
 
+// stepUp is larger while upward trials are kept.
+func (t *trial) stepUp() float64 {
+	if t.climbing {
+		return stepUpAgain
+	}
+	return stepUp
+}
+
 func (l *limiter) try(factor float64, hinted bool) {
 	limit := l.clamp(l.limit * factor)
 	if int(limit) == int(l.limit) {
@@ -58,8 +71,16 @@
 	l.limit = limit
 }
 
+// failsEarly reports whether a downward trial loses throughput so clearly that its window needn't end.
+func (l *limiter) failsEarly() bool {
+	w := &l.window
+	change := l.limit/l.trial.before - 1
+	return l.trial.running && change < 0 && w.finished >= earlyRuns && w.meanError() <= earlyMeanError &&
+		w.throughput()/max(l.steady, 1e-9)-1 < lossEarly*change
+}
+
 // judge keeps the limit on trial where its throughput is worth it, and reports whether it did.
-func (l *limiter) judge(now time.Time, throughput float64, latency time.Duration) bool {
+func (l *limiter) judge(now time.Time, throughput float64, w window) bool {
 	t := &l.trial
 	t.running = false
 	change := l.limit/t.before - 1
@@ -77,20 +98,20 @@
 	}
 	t.reschedule(now, up, keep)
 	if !up && !keep && t.hinted {
-		// Fewer at a time are not faster: the latency is the service's own.
-		l.best = max(l.best, time.Duration(float64(latency)/intrinsicMargin))
+		l.best.intrinsic(w)
 	}
 	return keep
 }
 
 // reschedule makes the next trial of a direction come sooner after a kept one and later after another.
 func (t *trial) reschedule(now time.Time, up, kept bool) {
+	t.climbing = up && kept
 	if up {
 		t.upPause = pauseAfter(t.upPause, pauseUpMinimum, kept)
 		t.upAt = now.Add(t.upPause)
 		return
 	}
-	t.downPause = pauseAfter(t.downPause, pauseDown, kept)
+	t.downPause = pauseAfter(t.downPause, pauseDownMinimum, kept)
 	t.downAt = now.Add(t.downPause)
 }
 
