--- a/target/chooser.go
+++ b/target/chooser.go
@@ -29,10 +29,8 @@
 // call, and then shed true where the only reason is that every target sheds it.
 func (c *Chooser) Choose(now time.Time, random uint64, service string, wholeHash uint64, priority int, exclude []string) (choice Choice, ok, shed bool) {
 	members, _ := c.table.services.get(service)
-	s := selection{chooser: c, now: now, at: c.offset(now), wholeHash: wholeHash, priority: priority}
-	for _, m := range members {
-		s.add(m, exclude)
-	}
+	s := selection{chooser: c, now: now, at: c.offset(now), wholeHash: wholeHash, priority: priority, members: members}
+	s.sort(exclude)
 	m := s.pick(random)
 	if m == nil {
 		return Choice{}, false, s.shed > 0
--- a/target/chooser_test.go
+++ b/target/chooser_test.go
@@ -57,12 +57,12 @@
 	table.Draining("t0", 1)
 	c.Sent(start, "t1")
 	late := start.Add(3 * time.Second)
+	c.Sent(late, "t2")
+	c.Sent(late, "t2")
 	if got := chosen(c, late, 100); got["t2"] != 100 {
 		t.Errorf("choices %v, want t2 alone", got)
 	}
 	c.Heard(late, "t1")
-	c.Sent(late, "t2")
-	c.Sent(late, "t2")
 	if got := chosen(c, late, 100); got["t1"] == 0 {
 		t.Errorf("choices %v, want t1 again after a sign of life", got)
 	}
@@ -75,27 +75,57 @@
 	}
 }
 
+// TestFastErrorsDoNotAttract counts the calls of a target that answers some of them with fast errors, too
+// few in a row for an ejection, and of one that fails all.
 func TestFastErrorsDoNotAttract(t *testing.T) {
-	_, c := fleet(t, "east", "east")
-	failing := 0
-	random := rand.New(rand.NewPCG(3, 4))
-	now := start
-	for range 1000 {
-		now = now.Add(time.Millisecond)
-		choice, ok, _ := c.Choose(now, random.Uint64(), "wind", 0, 0, nil)
-		if !ok {
-			t.Fatal("no target")
+	for _, c := range []struct{ failsOf5, most int }{{1, 200}, {2, 100}, {5, 50}} {
+		_, chooser := fleet(t, "east", "east")
+		random := rand.New(rand.NewPCG(3, 4))
+		now, failing := start, 0
+		for range 1000 {
+			now = now.Add(100 * time.Millisecond)
+			choice, ok, _ := chooser.Choose(now, random.Uint64(), "wind", 0, 0, nil)
+			if !ok {
+				t.Fatal("no target")
+			}
+			chooser.Sent(now, choice.Target.Name)
+			o := target.Observation{Kind: target.OK, Latency: 60 * time.Millisecond}
+			if choice.Target.Name == "t0" {
+				if failing%5 < c.failsOf5 {
+					o = target.Observation{Kind: target.Failed, Latency: 100 * time.Microsecond}
+				}
+				failing++
+			}
+			chooser.Answered(now, choice.Target.Name, o)
+		}
+		if failing > c.most {
+			t.Errorf("a target that fails %d of 5 got %d of 1000 calls, want at most %d", c.failsOf5, failing, c.most)
 		}
-		c.Sent(now, choice.Target.Name)
-		o := target.Observation{Kind: target.OK, Latency: 5 * time.Millisecond}
-		if choice.Target.Name == "t0" {
-			failing++
-			o = target.Observation{Kind: target.Failed, Latency: 100 * time.Microsecond}
+	}
+}
+
+// TestFailureDomainLost loses the own failure domain of a service of 90 targets.
+func TestFailureDomainLost(t *testing.T) {
+	domains := make([]string, 90)
+	for i := range domains {
+		domains[i] = []string{"east", "west", "north"}[i%3]
+	}
+	_, c := fleet(t, domains...)
+	for i := 0; i < 90; i += 3 {
+		c.Answered(start, fmt.Sprint("t", i), target.Observation{Kind: target.Unreachable})
+	}
+	counts := chosen(c, start, 1000)
+	total := 0
+	for name, n := range counts {
+		var i int
+		fmt.Sscanf(name, "t%d", &i)
+		if i%3 == 0 {
+			t.Errorf("%s of the lost failure domain was chosen", name)
 		}
-		c.Answered(now, choice.Target.Name, o)
+		total += n
 	}
-	if failing > 50 {
-		t.Errorf("the failing target got %d of 1000 calls, want at most 50", failing)
+	if total != 1000 || len(counts) != 60 {
+		t.Errorf("%d choices of %d targets, want 1000 of 60", total, len(counts))
 	}
 }
 
@@ -113,7 +143,8 @@
 
 // TestShedsWhereAllTargetsShed checks that one hash is shed by all daemons alike, and only by every target.
 func TestShedsWhereAllTargetsShed(t *testing.T) {
-	_, c := fleet(t, "east", "east")
+	_, c := fleet(t, "east", "east", "east")
+	c.Answered(start, "t2", target.Observation{Kind: target.Unreachable})
 	set := func(name string, share float64) {
 		level := priority.Level{Priority: 1, Share: share, ValidUntil: start.Add(time.Second)}
 		c.Answered(start, name, target.Observation{Kind: target.OK, Latency: time.Millisecond, Level: level})
@@ -136,6 +167,9 @@
 	if _, ok, _ := c.Choose(start, 7, "wind", 0, 0, nil); !ok {
 		t.Error("a more important request was shed")
 	}
+	if _, ok, shed := c.Choose(start, 7, "wind", 0, 2, nil); ok || !shed {
+		t.Error("what all able targets shed went to an ejected one")
+	}
 }
 
 func TestExcludedAndUnreachable(t *testing.T) {
--- a/target/member.go
+++ b/target/member.go
@@ -24,10 +24,11 @@
 	best         atomic.Int64 // lowest recent latency, in nanoseconds
 	refusing     atomic.Int64 // moving share of refused answers, in millionths
 	refusedAt    atomic.Int64
+	failing      atomic.Int64 // moving share of failed answers, in millionths
+	failedAt     atomic.Int64
 	level        atomic.Pointer[priority.Level]
 
 	mu          sync.Mutex
-	failures    float64 // moving share of failed answers
 	failedInRow int
 	ejections   int
 }
--- a/target/observe.go
+++ b/target/observe.go
@@ -9,11 +9,11 @@
 	silenceLatencies   = 4
 	slowStartFloor     = 0.1
 	latencyHalfLife    = 500 * time.Millisecond
-	idleHalfLife       = 2 * time.Second
+	idleHalving        = 2 * time.Second
 	bestDoubles        = 10 * time.Second
+	failureMemory      = 2 * time.Second
 	refusalMemory      = 500 * time.Millisecond
 	answerWeight       = 0.1 // of one answer in moving shares
-	failedLatency      = 50 * time.Millisecond
 	ejectAfterFailures = 5
 	ejectFailureShare  = 0.5
 	ejectionBase       = time.Second
@@ -43,18 +43,18 @@
 	switch o.Kind {
 	case OK:
 		m.observeLatency(at, int64(o.Latency))
-		m.observeOutcome(false)
+		m.observeOutcome(at, false)
 	case Failed:
 		// A fast error must not look like a fast answer.
-		m.observeLatency(at, max(int64(o.Latency), int64(failedLatency), m.latency.Load()))
-		m.observeOutcome(true)
+		m.observeLatency(at, max(int64(o.Latency), m.latency.Load()))
+		m.observeOutcome(at, true)
 	case Unreachable:
 		m.eject(at)
 		return false
 	case Refused:
 		return false
 	}
-	return m.failedInRow >= ejectAfterFailures || m.failures > ejectFailureShare
+	return m.failedInRow >= ejectAfterFailures || float64(m.failing.Load()) > ejectFailureShare*millionths
 }
 
 func (m *member) takeLevel(o Observation) {
@@ -91,7 +91,8 @@
 func (m *member) expectedLatency(at int64) int64 {
 	best := m.best.Load()
 	above := float64(m.latency.Load() - best)
-	return best + int64(above*halved(max(at-m.answeredAt.Load(), 0), idleHalfLife))
+	idle := float64(max(at-m.answeredAt.Load(), 0))
+	return best + int64(above*float64(idleHalving)/(float64(idleHalving)+idle))
 }
 
 func (m *member) observeRefusal(at int64, refused bool) {
@@ -115,15 +116,23 @@
 	return math.Exp2(-float64(elapsed) / float64(halfLife))
 }
 
-func (m *member) observeOutcome(failed bool) {
-	m.failures *= 1 - answerWeight
-	if !failed {
+func (m *member) observeOutcome(at int64, failed bool) {
+	share := float64(m.failing.Load()) * (1 - answerWeight)
+	if failed {
+		share += answerWeight * millionths
+		m.failedAt.Store(at)
+		m.failedInRow++
+	} else {
 		m.failedInRow = 0
 		m.ejections = max(0, m.ejections-1)
-		return
 	}
-	m.failures += answerWeight
-	m.failedInRow++
+	m.failing.Store(int64(share))
+}
+
+// failureShare returns the share of answers that failed, less the longer ago the last failure was.
+func (m *member) failureShare(at int64) float64 {
+	age := float64(max(at-m.failedAt.Load(), 0)) / float64(failureMemory)
+	return float64(m.failing.Load()) / millionths / (1 + age)
 }
 
 // ejectOutlier ejects a target for its failures.
@@ -141,6 +150,6 @@
 	d := min(ejectionBase<<min(m.ejections, 5), ejectionCeiling)
 	m.ejections++
 	m.failedInRow = 0
-	m.failures = 0
+	m.failing.Store(0)
 	m.ejectedUntil.Store(at + int64(d))
 }
--- a/target/selection.go
+++ b/target/selection.go
@@ -2,16 +2,16 @@
 
 import "time"
 
-// A tier is how willingly a target is chosen.
-type tier int
+// A tier is how willingly a target is chosen; a target of an earlier tier may be of a later one too.
+type tier uint8
 
 const (
-	tierNear   tier = iota // own failure domain, no sign of pressure
-	tierAny                // able to serve
-	tierWarm               // still warming
-	tierEject              // ejected for failures: last resort
-	tierCount              // number of tiers
-	inlineSize = 32        // candidates of a tier held without an allocation
+	tierNear  tier = iota // own failure domain, no sign of pressure
+	tierAny               // able to serve
+	tierWarm              // still warming
+	tierEject             // ejected for failures: last resort
+	tierNone              // gets nothing
+	tierCount
 )
 
 const (
@@ -19,63 +19,79 @@
 	pressureLatencies = 4
 	pressureSlack     = time.Millisecond
 	refusalCost       = 10.0
+	failureCost       = 20.0
 	unknownSlots      = 64
+	inlineMembers     = 64 // members of a service that a choice sorts without an allocation
 )
 
-// selection gathers the candidates of one choice.
+// selection sorts the targets of one service into tiers for one choice.
 type selection struct {
 	chooser   *Chooser
 	now       time.Time
 	at        int64
 	wholeHash uint64
 	priority  int
+	members   []*member
+	inline    [inlineMembers]tier
+	more      []tier // of the members beyond the inline ones
+	counts    [tierCount]int
 	shed      int
-	tiers     [tierCount]candidates
 }
 
-// candidates is a list whose first members need no allocation.
-type candidates struct {
-	n      int
-	inline [inlineSize]*member
-	more   []*member
-}
-
-func (l *candidates) add(m *member) {
-	if l.n < inlineSize {
-		l.inline[l.n] = m
-	} else {
-		l.more = append(l.more, m)
-	}
-	l.n++
-}
-
-func (l *candidates) at(i int) *member {
-	if i < inlineSize {
-		return l.inline[i]
+func (s *selection) sort(exclude []string) {
+	for i, m := range s.members {
+		t := s.tierOf(m, exclude)
+		s.counts[t]++
+		if i < inlineMembers {
+			s.inline[i] = t
+		} else {
+			s.more = append(s.more, t)
+		}
 	}
-	return l.more[i-inlineSize]
+	s.counts[tierAny] += s.counts[tierNear]
 }
 
-func (s *selection) add(m *member, exclude []string) {
+func (s *selection) tierOf(m *member, exclude []string) tier {
 	target := m.target()
 	if m.drained.Load() || excluded(target.Name, exclude) || s.chooser.silent(m, s.at) {
-		return
+		return tierNone
 	}
 	if m.sheds(s.now, s.priority, s.wholeHash) {
 		s.shed++
-		return
+		return tierNone
 	}
 	switch {
 	case s.at < m.ejectedUntil.Load():
-		s.tiers[tierEject].add(m)
+		return tierEject
 	case target.State == Warming:
-		s.tiers[tierWarm].add(m)
+		return tierWarm
+	case target.FailureDomain == s.chooser.failureDomain && !s.pressed(m):
+		return tierNear
 	default:
-		if target.FailureDomain == s.chooser.failureDomain && !s.pressed(m) {
-			s.tiers[tierNear].add(m)
+		return tierAny
+	}
+}
+
+func (s *selection) sorted(i int) tier {
+	if i < inlineMembers {
+		return s.inline[i]
+	}
+	return s.more[i-inlineMembers]
+}
+
+// nth returns the nth member of tier t.
+func (s *selection) nth(t tier, n int) *member {
+	for i, m := range s.members {
+		of := s.sorted(i)
+		if of != t && (t != tierAny || of != tierNear) {
+			continue
+		}
+		if n == 0 {
+			return m
 		}
-		s.tiers[tierAny].add(m)
+		n--
 	}
+	return nil
 }
 
 // pressed reports whether the target shows queueing or refuses.
@@ -90,26 +106,25 @@
 
 // pick takes the cheaper of two random candidates of the best tier that has any.
 func (s *selection) pick(random uint64) *member {
-	for i := range s.tiers {
-		list := &s.tiers[i]
-		if tier(i) > tierAny && s.shed > 0 {
+	for t := tierNear; t < tierNone; t++ {
+		if t > tierAny && s.shed > 0 {
 			return nil
 		}
-		if list.n > 0 {
-			return s.pickOf(list, random)
+		if s.counts[t] > 0 {
+			return s.pickOf(t, random)
 		}
 	}
 	return nil
 }
 
-func (s *selection) pickOf(list *candidates, random uint64) *member {
-	first := int(uint32(random)) % list.n
-	a := list.at(first)
-	if list.n == 1 {
+func (s *selection) pickOf(t tier, random uint64) *member {
+	n := s.counts[t]
+	first := int(uint32(random)) % n
+	a := s.nth(t, first)
+	if n == 1 {
 		return a
 	}
-	second := (first + 1 + int(random>>32)%(list.n-1)) % list.n
-	b := list.at(second)
+	b := s.nth(t, (first+1+int(random>>32)%(n-1))%n)
 	latencyA, latencyB := a.expectedLatency(s.at), b.expectedLatency(s.at)
 	if latencyA == 0 || latencyB == 0 {
 		latencyA, latencyB = 1, 1 // one is not measured yet
@@ -127,5 +142,5 @@
 		slots = unknownSlots
 	}
 	cost := float64(latency) * float64(m.inFlight.Load()+1) / (float64(slots) * s.chooser.weight(m, s.at))
-	return cost * (1 + refusalCost*m.refusalShare(s.at))
+	return cost * (1 + refusalCost*m.refusalShare(s.at) + failureCost*m.failureShare(s.at))
 }
