Check, publish and hold the operators' objects as one set

Operators need a set that is checked whole before it comes into force, and daemons need one that never reverts. The library's own TOML decoder stops at the first duplicate or wrong type, so a decoder over its parser collects all faults with their lines; configuration and settings share it.

A resend after its answer was forgotten is a conflict, since bases only grow. View refuses lower revisions and gaps, reads by one atomic pointer, and is fresh only by a confirmation that was asked for within the lease.

The route matcher matches no path with empty, dot or backslash segments, since a backend server may read such a path as that of a keyed route.

--- /dev/null
+++ b/configuration/checkobject.go
@@ -0,0 +1,102 @@
+package configuration
+
+import (
+	"math"
+	"regexp"
+	"strings"
+	"time"
+
+	"sapphirespread.example/key"
+	"sapphirespread.example/route"
+)
+
+const (
+	maxShare         = 1000
+	maxRate          = 10_000_000
+	maxBurst         = 10_000_000
+	maxLevel         = 31
+	maxRetryBudget   = 1
+	maxRetriesFloor  = 1000
+	maxExtraAttempts = 10
+	maxDeadline      = 10 * time.Minute
+	maxPathLength    = 1024
+)
+
+var (
+	hostPattern   = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$`)
+	methodPattern = regexp.MustCompile(`^[A-Z]+$`)
+)
+
+func (c *checker) workspace(w Workspace) {
+	c.reference(w, "limit", KindLimit, w.Limit)
+	c.expect(inRange(w.Share, math.SmallestNonzeroFloat64, maxShare), w, "share", w.Share, "a number above 0, at most 1000")
+}
+
+func (c *checker) key(k Key) {
+	c.reference(k, "workspace", KindWorkspace, k.Workspace)
+	_, ok := key.ParseHash(k.Hash)
+	c.expect(ok, k, "hash", k.Hash, `"sha256:" and 64 lower-case hexadecimal digits, as key create writes it`)
+	if other, taken := c.hashes[k.Hash]; ok && taken {
+		c.expect(false, k, "hash", k.Hash, "a hash other than that of keys."+other)
+	}
+	c.hashes[k.Hash] = k.Name
+}
+
+func (c *checker) service(s Service) {
+	c.expect(inRange(s.RetryBudget, 0, maxRetryBudget), s, "retry-budget", s.RetryBudget, "a number from 0 to 1")
+	floor := s.MinimumRetriesPerSecond
+	c.expect(inRange(floor, 0, maxRetriesFloor), s, "minimum-retries-per-second", floor, "a number from 0 to 1000")
+}
+
+func (c *checker) priority(p Priority) {
+	if p.Level == noLevel {
+		c.missing(p, "level", "a whole number from 0 (shed last) to 31")
+		return
+	}
+	c.expect(p.Level >= 0 && p.Level <= maxLevel, p, "level", p.Level, "a whole number from 0 (shed last) to 31")
+	if other, taken := c.levels[p.Level]; taken && other != p.Name {
+		c.expect(false, p, "level", p.Level, "a level other than that of priorities."+other)
+	}
+	c.levels[p.Level] = p.Name
+}
+
+func (c *checker) limit(l Limit) {
+	c.expect(inRange(l.Rate, math.SmallestNonzeroFloat64, maxRate), l, "rate", l.Rate, "requests per second above 0, at most 10000000")
+	c.expect(l.Burst >= 1 && l.Burst <= maxBurst, l, "burst", l.Burst, "a whole number of requests from 1 to 10000000")
+}
+
+func (c *checker) route(r Route) {
+	c.reference(r, "service", KindService, r.Service)
+	c.reference(r, "priority", KindPriority, r.Priority)
+	for _, name := range r.Workspaces {
+		c.reference(r, "workspaces", KindWorkspace, name)
+	}
+	c.expect(!hasDuplicate(r.Workspaces), r, "workspaces", strings.Join(r.Workspaces, ", "), "each workspace once")
+	c.requests(r)
+	c.expect(r.Deadline > 0 && r.Deadline <= maxDeadline, r, "deadline", r.Deadline.String(), `a duration above 0, at most "10m"`)
+	c.expect(r.ExtraAttempts >= 0 && r.ExtraAttempts <= maxExtraAttempts, r, "extra-attempts", r.ExtraAttempts, "a whole number from 0 to 10")
+	c.expect(!r.Open || r.Repeatable, r, "open", r.Open, "repeatable = true beside it: claims need a workspace, and an open route has none")
+	c.expect(!r.Open || len(r.Workspaces) == 0, r, "workspaces", strings.Join(r.Workspaces, ", "), "no workspaces on an open route")
+}
+
+// requests checks which requests the route matches.
+func (c *checker) requests(r Route) {
+	c.expect(r.Host == "" || hostPattern.MatchString(r.Host), r, "host", r.Host, "a lower-case host name without a port")
+	c.expect(goodPath(r), r, "path", r.Path, `an exact path such as "/courts", or a prefix such as "/courts/*"`)
+	for _, method := range r.Methods {
+		c.expect(methodPattern.MatchString(method), r, "methods", method, "upper-case HTTP methods")
+	}
+	c.expect(!hasDuplicate(r.Methods), r, "methods", strings.Join(r.Methods, ", "), "each method once")
+}
+
+func goodPath(r Route) bool {
+	path, isPrefix := r.matched().Prefix()
+	if len(path) > maxPathLength || strings.ContainsAny(path, "*?#") || !route.Canonical(path) {
+		return false
+	}
+	return isPrefix || path == "/" || !strings.HasSuffix(path, "/")
+}
+
+func inRange(value, low, high float64) bool {
+	return value >= low && value <= high
+}
--- /dev/null
+++ b/configuration/duration.go
@@ -0,0 +1,28 @@
+package configuration
+
+import (
+	"bytes"
+	"encoding/json"
+	"time"
+)
+
+// duration is a time.Duration that stands as text in JSON.
+type duration time.Duration
+
+// MarshalText writes the duration as text such as "1.5s".
+func (d duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// UnmarshalText reads a duration such as "1.5s".
+func (d *duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	*d = duration(parsed)
+	return err
+}
+
+func unmarshalStrictly(data []byte, into any) error {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	return decoder.Decode(into)
+}
--- /dev/null
+++ b/configuration/key.go
@@ -0,0 +1,15 @@
+package configuration
+
+// A Key lets callers act for a workspace; only the hash of its secret is kept.
+type Key struct {
+	Name      string `json:"name" toml:"-"`
+	Workspace string `json:"workspace" toml:"workspace"`
+	Hash      string `json:"hash" toml:"hash"`
+	Withdrawn bool   `json:"withdrawn" toml:"withdrawn"`
+}
+
+// ObjectKind returns KindKey.
+func (Key) ObjectKind() Kind { return KindKey }
+
+// ObjectName returns the key's name.
+func (k Key) ObjectName() string { return k.Name }
--- /dev/null
+++ b/configuration/limit.go
@@ -0,0 +1,14 @@
+package configuration
+
+// A Limit is a rate in requests per second and a burst in requests; each workspace that names it has a bucket of its own.
+type Limit struct {
+	Name  string  `json:"name" toml:"-"`
+	Rate  float64 `json:"rate" toml:"rate"`
+	Burst int64   `json:"burst" toml:"burst"`
+}
+
+// ObjectKind returns KindLimit.
+func (Limit) ObjectKind() Kind { return KindLimit }
+
+// ObjectName returns the limit's name.
+func (l Limit) ObjectName() string { return l.Name }
--- /dev/null
+++ b/configuration/revision.go
@@ -0,0 +1,8 @@
+package configuration
+
+// revision is one kept revision: its entry, and the changes from the one before it and back.
+type revision struct {
+	Entry    Entry    `json:"entry"`
+	Forward  []Change `json:"forward"`
+	Backward []Change `json:"backward"`
+}
--- /dev/null
+++ b/configuration/route.go
@@ -0,0 +1,64 @@
+package configuration
+
+import (
+	"encoding/json"
+	"time"
+
+	"sapphirespread.example/route"
+)
+
+const defaultExtraAttempts = 2
+
+// A Route sends the requests that match it to a service, with a priority, a deadline and an allowance of extra attempts.
+// A request of a route that is not repeatable runs at most once; an open route demands no key.
+type Route struct {
+	Name          string        `json:"name" toml:"-"`
+	Host          string        `json:"host,omitempty" toml:"host"`
+	Path          string        `json:"path" toml:"path"`
+	Methods       []string      `json:"methods,omitempty" toml:"methods"`
+	Service       string        `json:"service" toml:"service"`
+	Priority      string        `json:"priority" toml:"priority"`
+	Deadline      time.Duration `json:"deadline" toml:"deadline"`
+	Repeatable    bool          `json:"repeatable" toml:"repeatable"`
+	Open          bool          `json:"open" toml:"open"`
+	ExtraAttempts int           `json:"extra-attempts" toml:"extra-attempts"`
+	Workspaces    []string      `json:"workspaces,omitempty" toml:"workspaces"`
+}
+
+// ObjectKind returns KindRoute.
+func (Route) ObjectKind() Kind { return KindRoute }
+
+// ObjectName returns the route's name.
+func (r Route) ObjectName() string { return r.Name }
+
+// SetDefaults sets the extra attempts that a route has where its file names none.
+func (r *Route) SetDefaults() { r.ExtraAttempts = defaultExtraAttempts }
+
+// plainRoute is a route without methods, so that encoding/json doesn't call them.
+type plainRoute Route
+
+// routeBody writes the deadline as text.
+type routeBody struct {
+	plainRoute
+	Deadline duration `json:"deadline"`
+}
+
+// MarshalJSON writes the route with its deadline as text such as "1.5s".
+func (r Route) MarshalJSON() ([]byte, error) {
+	return json.Marshal(routeBody{plainRoute(r), duration(r.Deadline)})
+}
+
+// UnmarshalJSON reads what MarshalJSON wrote and refuses unknown names.
+func (r *Route) UnmarshalJSON(data []byte) error {
+	var body routeBody
+	if err := unmarshalStrictly(data, &body); err != nil {
+		return err
+	}
+	*r = Route(body.plainRoute)
+	r.Deadline = time.Duration(body.Deadline)
+	return nil
+}
+
+func (r Route) matched() route.Route {
+	return route.Route{Name: r.Name, Host: r.Host, Path: r.Path, Methods: r.Methods}
+}
--- /dev/null
+++ b/configuration/view_test.go
@@ -0,0 +1,140 @@
+package configuration_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"pgregory.net/rapid"
+
+	"sapphirespread.example/configuration"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// message is one delta from a control instance to a view.
+type message struct {
+	from, to uint64
+	whole    bool
+	changes  []configuration.Change
+}
+
+// TestViewNeverReverts moves a view among instances that lag by different numbers of revisions,
+// over links that lose, repeat and reorder.
+func TestViewNeverReverts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		registry := configuration.NewRegistry(configuration.WithKeptRevisions(3))
+		view := configuration.NewView()
+		contents := map[uint64]string{0: list(configuration.Set{})}
+		var wire []message
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			held := view.Revision()
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				id := time.Duration(registry.Revision()).String()
+				registry.Publish(start, configuration.Publish{ID: id, Base: registry.Revision(), Set: drawSet(t)})
+				contents[registry.Revision()] = list(registry.Current())
+			case 1:
+				changes, whole := registry.Delta(held)
+				wire = append(wire, message{held, registry.Revision(), whole, changes})
+			case 2:
+				if len(wire) == 0 {
+					continue
+				}
+				m := rapid.SampledFrom(wire).Draw(t, "delivered")
+				err := view.Apply(m.from, m.to, m.whole, m.changes)
+				if m.to >= held && err != nil {
+					t.Fatalf("revision %d refused at %d: %v", m.to, held, err)
+				}
+				if m.to < held && !errorx.IsOfType(err, configuration.RevisionOld) {
+					t.Fatalf("revision %d applied at %d: %v", m.to, held, err)
+				}
+			}
+			snapshot, _ := view.Current(start)
+			if snapshot.Revision < held || list(snapshot.Set) != contents[snapshot.Revision] {
+				t.Fatalf("revision %d after %d, or with other content", snapshot.Revision, held)
+			}
+		}
+	})
+}
+
+// TestViewIsFreshOnlyWhileConfirmed draws confirmations and deltas; the view may be fresh only if some
+// confirmation sent within the lease named a revision that the view holds.
+func TestViewIsFreshOnlyWhileConfirmed(t *testing.T) {
+	const freshness = 3 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		view := configuration.NewView(configuration.WithFreshness(freshness))
+		type confirm struct {
+			sentAt   time.Time
+			revision uint64
+		}
+		var confirms []confirm
+		now := start
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "elapsed")) * time.Millisecond)
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				sentAt := now.Add(-time.Duration(rapid.IntRange(0, 4000).Draw(t, "age")) * time.Millisecond)
+				c := confirm{sentAt, view.Revision() + rapid.Uint64Range(0, 2).Draw(t, "ahead")}
+				confirms = append(confirms, c)
+				view.Confirm(c.sentAt, c.revision)
+			case 1:
+				held := view.Revision()
+				if err := view.Apply(held, held+1, false, nil); err != nil {
+					t.Fatal(err)
+				}
+			}
+			snapshot, fresh := view.Current(now)
+			backed := false
+			for _, c := range confirms {
+				backed = backed || (c.revision <= snapshot.Revision && now.Sub(c.sentAt) < freshness)
+			}
+			if fresh && !backed {
+				t.Fatalf("fresh at revision %d without a confirmation in time", snapshot.Revision)
+			}
+		}
+	})
+}
+
+func TestViewFreshness(t *testing.T) {
+	view := configuration.NewView(configuration.WithFreshness(3 * time.Second))
+	expect := func(at time.Duration, want bool) {
+		t.Helper()
+		if _, fresh := view.Current(start.Add(at)); fresh != want {
+			t.Errorf("at %s: fresh %t, want %t", at, fresh, want)
+		}
+	}
+	expect(0, false)
+	view.Confirm(start, 0)
+	expect(2999*time.Millisecond, true)
+	expect(3*time.Second, false)
+	view.Confirm(start.Add(4*time.Second), 1)
+	expect(4*time.Second, false)
+	if err := view.Apply(0, 1, true, nil); err != nil {
+		t.Fatal(err)
+	}
+	expect(6*time.Second, true)
+	view.Confirm(start.Add(time.Second), 1)
+	expect(6*time.Second, true)
+	expect(7*time.Second, false)
+}
+
+func TestViewRefusesGapsAndBrokenSets(t *testing.T) {
+	view := configuration.NewView()
+	if err := view.Apply(3, 4, false, nil); !errorx.IsOfType(err, configuration.RevisionGap) {
+		t.Errorf("gap: %v", err)
+	}
+	for _, changes := range [][]configuration.Change{
+		oneWorkspace("oslo"),
+		{{Kind: "colour", Name: "red", Body: []byte(`{}`)}},
+		{{Kind: configuration.KindLimit, Name: "a", Body: []byte(`{"name":"b","rate":1,"burst":1}`)}},
+		{{Kind: configuration.KindLimit, Name: "a", Body: []byte(`{"name":"a","rates":1}`)}},
+	} {
+		if err := view.Apply(0, 1, false, changes); !errorx.IsOfType(err, configuration.SetBroken) {
+			t.Errorf("%s: %v", changes[0].Body, err)
+		}
+	}
+	if view.Revision() != 0 {
+		t.Errorf("revision %d", view.Revision())
+	}
+}
--- /dev/null
+++ b/internal/settings/control.go
@@ -0,0 +1,46 @@
+package settings
+
+import (
+	"net/netip"
+	"time"
+)
+
+const (
+	defaultElectionTimeout = time.Second
+	defaultHeartbeat       = 100 * time.Millisecond
+)
+
+// Control is the settings of a control instance.
+type Control struct {
+	Name            string         `toml:"name"`
+	Cluster         string         `toml:"cluster"`
+	FailureDomain   string         `toml:"failure-domain"`
+	Region          string         `toml:"region"`
+	PeerListen      netip.AddrPort `toml:"peer-listen"`
+	PeerAdvertise   netip.AddrPort `toml:"peer-advertise"`
+	OperatorsListen netip.AddrPort `toml:"operators-listen"`
+	DataFolder      string         `toml:"data-folder"`
+	Members         []Member       `toml:"members"`
+	Join            bool           `toml:"join"`
+	ElectionTimeout time.Duration  `toml:"election-timeout"`
+	Heartbeat       time.Duration  `toml:"heartbeat"`
+	Timeouts        Timeouts       `toml:"timeouts"`
+	Log             Log            `toml:"log"`
+	TLS             TLS            `toml:"tls"`
+}
+
+// LoadControl reads and checks the settings file of a control instance; the error is configuration.Problems with all that is wrong.
+func LoadControl(path string) (Control, error) {
+	s := Control{
+		ElectionTimeout: defaultElectionTimeout,
+		Heartbeat:       defaultHeartbeat,
+		Timeouts:        defaultTimeouts(),
+		Log:             defaultLog(),
+	}
+	c := decode(path, &s)
+	c.control(s)
+	if !s.PeerAdvertise.IsValid() {
+		s.PeerAdvertise = s.PeerListen
+	}
+	return s, c.problems.Err()
+}
--- /dev/null
+++ b/internal/settings/daemon.go
@@ -0,0 +1,42 @@
+package settings
+
+import (
+	"net/netip"
+	"time"
+)
+
+const defaultFreshness = 3 * time.Second
+
+// Daemon is the settings of a daemon.
+type Daemon struct {
+	Name            string           `toml:"name"`
+	Cluster         string           `toml:"cluster"`
+	FailureDomain   string           `toml:"failure-domain"`
+	Region          string           `toml:"region"`
+	CallersListen   netip.AddrPort   `toml:"callers-listen"`
+	PeerListen      netip.AddrPort   `toml:"peer-listen"`
+	PeerAdvertise   netip.AddrPort   `toml:"peer-advertise"`
+	SubcallsListen  netip.AddrPort   `toml:"subcalls-listen"`
+	OperatorsListen netip.AddrPort   `toml:"operators-listen"`
+	Control         []netip.AddrPort `toml:"control"`
+	BackendServer   netip.AddrPort   `toml:"backend-server"`
+	Freshness       time.Duration    `toml:"freshness"`
+	Timeouts        Timeouts         `toml:"timeouts"`
+	Log             Log              `toml:"log"`
+	TLS             TLS              `toml:"tls"`
+}
+
+// LoadDaemon reads and checks the settings file of a daemon; the error is configuration.Problems with all that is wrong.
+func LoadDaemon(path string) (Daemon, error) {
+	d := Daemon{
+		Freshness: defaultFreshness,
+		Timeouts:  defaultTimeouts(),
+		Log:       defaultLog(),
+	}
+	c := decode(path, &d)
+	c.daemon(d)
+	if !d.PeerAdvertise.IsValid() {
+		d.PeerAdvertise = d.PeerListen
+	}
+	return d, c.problems.Err()
+}
--- /dev/null
+++ b/key/secret.go
@@ -0,0 +1,42 @@
+package key
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"strings"
+)
+
+const (
+	secretBytes  = 32
+	secretPrefix = "ssk_"
+	hashPrefix   = "sha256:"
+)
+
+// Create returns a new secret of 256 random bits and the hash to publish for it.
+func Create(random io.Reader) (secret, hash string, err error) {
+	raw := make([]byte, secretBytes)
+	if _, err := io.ReadFull(random, raw); err != nil {
+		return "", "", fmt.Errorf("reading random bytes for a key: %w", err)
+	}
+	secret = secretPrefix + base64.RawURLEncoding.EncodeToString(raw)
+	return secret, Hash(secret), nil
+}
+
+// Hash returns the hash of secret as it stands in a configuration.
+func Hash(secret string) string {
+	sum := sha256.Sum256([]byte(secret))
+	return hashPrefix + hex.EncodeToString(sum[:])
+}
+
+// ParseHash reads a hash that Hash wrote.
+func ParseHash(hash string) (sum [sha256.Size]byte, ok bool) {
+	digits, ok := strings.CutPrefix(hash, hashPrefix)
+	if !ok || len(digits) != hex.EncodedLen(len(sum)) || strings.ToLower(digits) != digits {
+		return sum, false
+	}
+	_, err := hex.Decode(sum[:], []byte(digits))
+	return sum, err == nil
+}
