Hold each workspace to its rate and burst across all instances

Cause: nothing keeps a workspace within rate and burst when its callers use many daemons at once. Change: limit.Owner keeps one token bucket a workspace and hands out grants that expire; limit.Holder spends them at a daemon. Level plus open grants never exceed the burst: a grant counts as open at the owner until the slowest holder can't spend it any more, what runs out unspent is not credited again, a return closes its grant once, and a new owner waits until former grants ran out. Ruled out: to count spent tokens as open until the grant expires (throughput would be bounded by burst per grant duration); a spent grant is closed by a return of 0 tokens.

--- /dev/null
+++ b/limit/holder.go
@@ -0,0 +1,124 @@
+package limit
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const holderShards = 16
+
+// A Holder spends granted tokens at one daemon; it is safe for concurrent use.
+type Holder struct {
+	prefetch   time.Duration
+	idleAfter  time.Duration
+	askTimeout time.Duration
+	margin     float64
+	lastAsk    atomic.Uint64
+	shards     [holderShards]shard
+}
+
+// NewHolder returns a holder without tokens.
+func NewHolder(opts ...HolderOption) *Holder {
+	h := &Holder{
+		prefetch:   DefaultPrefetch,
+		idleAfter:  DefaultIdleAfter,
+		askTimeout: DefaultAskTimeout,
+		margin:     DefaultClockRateMargin,
+	}
+	for _, opt := range opts {
+		opt(h)
+	}
+	return h
+}
+
+// Spend takes tokens of the workspace, all or none. It neither allocates nor blocks while the first grant has them.
+func (h *Holder) Spend(now time.Time, workspace string, tokens int64) bool {
+	a := h.shard(workspace).find(workspace)
+	if a == nil {
+		return tokens <= 0
+	}
+	return a.spend(now, tokens)
+}
+
+// Wait notes that a request waits for a token of the workspace.
+func (h *Holder) Wait(now time.Time, workspace string) {
+	h.shard(workspace).wait(now, workspace)
+}
+
+// Unwait ends a Wait, whether the request got its token or left.
+func (h *Holder) Unwait(workspace string) {
+	if a := h.shard(workspace).find(workspace); a != nil {
+		a.waiting.Add(-1)
+	}
+}
+
+// Asks returns what to ask the owner for now. The asks must be sent at once, since their grants count from now.
+func (h *Holder) Asks(now time.Time) []Ask {
+	var asks []Ask
+	for i := range h.shards {
+		for _, a := range h.shards[i].accounts() {
+			if ask, wanted := a.ask(now, h); wanted {
+				asks = append(asks, ask)
+			}
+		}
+	}
+	return asks
+}
+
+// Accept takes a grant in, and tells whether it brought tokens for waiting requests. A grant that answers no
+// open ask, or a second one for the same ask, is ignored.
+func (h *Holder) Accept(now time.Time, g Grant) bool {
+	a := h.shard(g.Workspace).find(g.Workspace)
+	if a == nil {
+		return false
+	}
+	return a.accept(now, g, h)
+}
+
+// Hint returns the Retry-After of the last grant that had no tokens for waiting requests, or 0.
+func (h *Holder) Hint(workspace string) time.Duration {
+	if a := h.shard(workspace).find(workspace); a != nil {
+		return a.hint()
+	}
+	return 0
+}
+
+// Idle returns the grants that ended: spent, run out, close to running out, or not used for a while. Each
+// return must reach the owner at most once in effect, which the owner sees to.
+func (h *Holder) Idle(now time.Time) []Return {
+	var returns []Return
+	for i := range h.shards {
+		s := &h.shards[i]
+		for _, a := range s.accounts() {
+			returns = a.idle(now, h.idleAfter, h.askTimeout, returns)
+		}
+		s.forget(now)
+	}
+	return returns
+}
+
+// Drop gives up all grants, for a stop.
+func (h *Holder) Drop() []Return {
+	var returns []Return
+	for i := range h.shards {
+		for _, a := range h.shards[i].accounts() {
+			returns = a.drop(returns)
+		}
+	}
+	return returns
+}
+
+// Disconnect forgets the asks that are open, since their answers are lost with the connection to the owner.
+func (h *Holder) Disconnect() {
+	for i := range h.shards {
+		for _, a := range h.shards[i].accounts() {
+			a.disconnect()
+		}
+	}
+}
+
+func (h *Holder) shard(workspace string) *shard {
+	return &h.shards[xxhash.Sum64String(workspace)%holderShards]
+}
