Serve the operator API and ask it

Operators need one way to ask any control instance. Forwarding at the instance was weighed: it hides from the operator whose answer was lost and doubles the timeouts.

--- a/configuration/key.go
+++ b/configuration/key.go
@@ -5,7 +5,7 @@
 	Name      string `json:"name" toml:"-"`
 	Workspace string `json:"workspace" toml:"workspace"`
 	Hash      string `json:"hash" toml:"hash"`
-	Withdrawn bool   `json:"withdrawn" toml:"withdrawn"`
+	Withdrawn bool   `json:"withdrawn" toml:"withdrawn,omitempty"`
 }
 
 // ObjectKind returns KindKey.
--- a/configuration/load_test.go
+++ b/configuration/load_test.go
@@ -11,7 +11,8 @@
 	"sapphirespread.example/configuration"
 )
 
-// TestLoad replays folders of files: "file path=..." adds one, "load" reads the folder and empties it.
+// TestLoad replays folders of files: "file path=..." adds one, "load" reads the folder and empties it,
+// "write" reads it and writes it as one file.
 func TestLoad(t *testing.T) {
 	datadriven.Walk(t, "testdata/load", func(t *testing.T, path string) {
 		files := fstest.MapFS{}
@@ -29,6 +30,20 @@
 					return err.Error()
 				}
 				return list(set)
+			case "write":
+				set, err := configuration.Load(files, ".")
+				if err != nil {
+					return err.Error()
+				}
+				var b strings.Builder
+				if err := set.Write(&b); err != nil {
+					return err.Error()
+				}
+				again, err := configuration.Load(fstest.MapFS{"all.toml": {Data: []byte(b.String())}}, ".")
+				if err != nil || list(again) != list(set) {
+					t.Errorf("the set changes when it is written and loaded: %v", err)
+				}
+				return b.String()
 			}
 			t.Fatalf("unknown command %s", d.Cmd)
 			return ""
--- a/configuration/route.go
+++ b/configuration/route.go
@@ -13,16 +13,16 @@
 // A request of a route that is not repeatable runs at most once; an open route demands no key.
 type Route struct {
 	Name          string        `json:"name" toml:"-"`
-	Host          string        `json:"host,omitempty" toml:"host"`
+	Host          string        `json:"host,omitempty" toml:"host,omitempty"`
 	Path          string        `json:"path" toml:"path"`
-	Methods       []string      `json:"methods,omitempty" toml:"methods"`
+	Methods       []string      `json:"methods,omitempty" toml:"methods,omitempty"`
 	Service       string        `json:"service" toml:"service"`
 	Priority      string        `json:"priority" toml:"priority"`
 	Deadline      time.Duration `json:"deadline" toml:"deadline"`
 	Repeatable    bool          `json:"repeatable" toml:"repeatable"`
 	Open          bool          `json:"open" toml:"open"`
 	ExtraAttempts int           `json:"extra-attempts" toml:"extra-attempts"`
-	Workspaces    []string      `json:"workspaces,omitempty" toml:"workspaces"`
+	Workspaces    []string      `json:"workspaces,omitempty" toml:"workspaces,omitempty"`
 }
 
 // ObjectKind returns KindRoute.
@@ -37,15 +37,15 @@
 // plainRoute is a route without methods, so that encoding/json doesn't call them.
 type plainRoute Route
 
-// routeBody writes the deadline as text.
+// routeBody is a route with its deadline as text.
 type routeBody struct {
 	plainRoute
-	Deadline duration `json:"deadline"`
+	Deadline duration `json:"deadline" toml:"deadline"`
 }
 
 // MarshalJSON writes the route with its deadline as text such as "1.5s".
 func (r Route) MarshalJSON() ([]byte, error) {
-	return json.Marshal(routeBody{plainRoute(r), duration(r.Deadline)})
+	return json.Marshal(r.body())
 }
 
 // UnmarshalJSON reads what MarshalJSON wrote and refuses unknown names.
@@ -59,6 +59,10 @@
 	return nil
 }
 
+func (r Route) body() routeBody {
+	return routeBody{plainRoute(r), duration(r.Deadline)}
+}
+
 func (r Route) matched() route.Route {
 	return route.Route{Name: r.Name, Host: r.Host, Path: r.Path, Methods: r.Methods}
 }
--- /dev/null
+++ b/configuration/write.go
@@ -0,0 +1,49 @@
+package configuration
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Write writes the objects of the set in TOML, as Load reads them.
+func (s Set) Write(w io.Writer) error {
+	first := true
+	for _, o := range s.Objects() {
+		if !first {
+			if _, err := io.WriteString(w, "\n"); err != nil {
+				return err
+			}
+		}
+		first = false
+		if err := writeObject(w, o); err != nil {
+			return fmt.Errorf("writing %s %s: %w", o.ObjectKind(), o.ObjectName(), err)
+		}
+	}
+	return nil
+}
+
+func writeObject(w io.Writer, o Object) error {
+	var fields any = o
+	if r, ok := o.(Route); ok {
+		fields = r.body()
+	}
+	encoded, err := toml.Marshal(fields)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(w, "[%s.%s]\n%s", o.ObjectKind().table(), o.ObjectName(), encoded)
+	return err
+}
+
+// Of returns the part of the set that holds one kind of objects.
+func (s Set) Of(kind Kind) Set {
+	var part Set
+	for _, o := range s.Objects() {
+		if o.ObjectKind() == kind {
+			part.add(o)
+		}
+	}
+	return part
+}
--- a/internal/api/oas/oas_json_gen.go
+++ b/internal/api/oas/oas_json_gen.go
@@ -274,7 +274,7 @@
 	}
 	{
 		e.FieldStart("failure-domain")
-		e.Str(s.FailureMinusDomain)
+		e.Str(s.FailureDomain)
 	}
 	{
 		e.FieldStart("revision")
@@ -282,7 +282,7 @@
 	}
 	{
 		e.FieldStart("operators-address")
-		e.Str(s.OperatorsMinusAddress)
+		e.Str(s.OperatorsAddress)
 	}
 }
 
@@ -318,7 +318,7 @@
 			requiredBitSet[0] |= 1 << 1
 			if err := func() error {
 				v, err := d.Str()
-				s.FailureMinusDomain = string(v)
+				s.FailureDomain = string(v)
 				if err != nil {
 					return err
 				}
@@ -342,7 +342,7 @@
 			requiredBitSet[0] |= 1 << 3
 			if err := func() error {
 				v, err := d.Str()
-				s.OperatorsMinusAddress = string(v)
+				s.OperatorsAddress = string(v)
 				if err != nil {
 					return err
 				}
@@ -751,9 +751,9 @@
 		}
 	}
 	{
-		if s.LeaderMinusAddress.Set {
+		if s.LeaderAddress.Set {
 			e.FieldStart("leader-address")
-			s.LeaderMinusAddress.Encode(e)
+			s.LeaderAddress.Encode(e)
 		}
 	}
 }
@@ -808,8 +808,8 @@
 			}
 		case "leader-address":
 			if err := func() error {
-				s.LeaderMinusAddress.Reset()
-				if err := s.LeaderMinusAddress.Decode(d); err != nil {
+				s.LeaderAddress.Reset()
+				if err := s.LeaderAddress.Decode(d); err != nil {
 					return err
 				}
 				return nil
@@ -3045,9 +3045,9 @@
 		e.Str(s.Leader)
 	}
 	{
-		if s.LeaderMinusAddress.Set {
+		if s.LeaderAddress.Set {
 			e.FieldStart("leader-address")
-			s.LeaderMinusAddress.Encode(e)
+			s.LeaderAddress.Encode(e)
 		}
 	}
 	{
@@ -3130,8 +3130,8 @@
 			}
 		case "leader-address":
 			if err := func() error {
-				s.LeaderMinusAddress.Reset()
-				if err := s.LeaderMinusAddress.Decode(d); err != nil {
+				s.LeaderAddress.Reset()
+				if err := s.LeaderAddress.Decode(d); err != nil {
 					return err
 				}
 				return nil
@@ -3267,7 +3267,7 @@
 	}
 	{
 		e.FieldStart("failure-domain")
-		e.Str(s.FailureMinusDomain)
+		e.Str(s.FailureDomain)
 	}
 	{
 		e.FieldStart("daemon")
@@ -3291,7 +3291,7 @@
 	}
 	{
 		e.FieldStart("in-flight")
-		e.Int(s.InMinusFlight)
+		e.Int(s.InFlight)
 	}
 	{
 		e.FieldStart("connections")
@@ -3349,7 +3349,7 @@
 			requiredBitSet[0] |= 1 << 2
 			if err := func() error {
 				v, err := d.Str()
-				s.FailureMinusDomain = string(v)
+				s.FailureDomain = string(v)
 				if err != nil {
 					return err
 				}
@@ -3421,7 +3421,7 @@
 			requiredBitSet[1] |= 1 << 0
 			if err := func() error {
 				v, err := d.Int()
-				s.InMinusFlight = int(v)
+				s.InFlight = int(v)
 				if err != nil {
 					return err
 				}
--- a/internal/api/oas/oas_schemas_gen.go
+++ b/internal/api/oas/oas_schemas_gen.go
@@ -137,10 +137,10 @@
 
 // Ref: #/components/schemas/Daemon
 type Daemon struct {
-	Name                  string `json:"name"`
-	FailureMinusDomain    string `json:"failure-domain"`
-	Revision              uint64 `json:"revision"`
-	OperatorsMinusAddress string `json:"operators-address"`
+	Name             string `json:"name"`
+	FailureDomain    string `json:"failure-domain"`
+	Revision         uint64 `json:"revision"`
+	OperatorsAddress string `json:"operators-address"`
 }
 
 // GetName returns the value of Name.
@@ -148,9 +148,9 @@
 	return s.Name
 }
 
-// GetFailureMinusDomain returns the value of FailureMinusDomain.
-func (s *Daemon) GetFailureMinusDomain() string {
-	return s.FailureMinusDomain
+// GetFailureDomain returns the value of FailureDomain.
+func (s *Daemon) GetFailureDomain() string {
+	return s.FailureDomain
 }
 
 // GetRevision returns the value of Revision.
@@ -158,9 +158,9 @@
 	return s.Revision
 }
 
-// GetOperatorsMinusAddress returns the value of OperatorsMinusAddress.
-func (s *Daemon) GetOperatorsMinusAddress() string {
-	return s.OperatorsMinusAddress
+// GetOperatorsAddress returns the value of OperatorsAddress.
+func (s *Daemon) GetOperatorsAddress() string {
+	return s.OperatorsAddress
 }
 
 // SetName sets the value of Name.
@@ -168,9 +168,9 @@
 	s.Name = val
 }
 
-// SetFailureMinusDomain sets the value of FailureMinusDomain.
-func (s *Daemon) SetFailureMinusDomain(val string) {
-	s.FailureMinusDomain = val
+// SetFailureDomain sets the value of FailureDomain.
+func (s *Daemon) SetFailureDomain(val string) {
+	s.FailureDomain = val
 }
 
 // SetRevision sets the value of Revision.
@@ -178,9 +178,9 @@
 	s.Revision = val
 }
 
-// SetOperatorsMinusAddress sets the value of OperatorsMinusAddress.
-func (s *Daemon) SetOperatorsMinusAddress(val string) {
-	s.OperatorsMinusAddress = val
+// SetOperatorsAddress sets the value of OperatorsAddress.
+func (s *Daemon) SetOperatorsAddress(val string) {
+	s.OperatorsAddress = val
 }
 
 // Ref: #/components/schemas/Diff
@@ -318,10 +318,10 @@
 
 // Ref: #/components/schemas/Failure
 type Failure struct {
-	Kind               FailureKind `json:"kind"`
-	Detail             string      `json:"detail"`
-	Leader             OptString   `json:"leader"`
-	LeaderMinusAddress OptString   `json:"leader-address"`
+	Kind          FailureKind `json:"kind"`
+	Detail        string      `json:"detail"`
+	Leader        OptString   `json:"leader"`
+	LeaderAddress OptString   `json:"leader-address"`
 }
 
 // GetKind returns the value of Kind.
@@ -339,9 +339,9 @@
 	return s.Leader
 }
 
-// GetLeaderMinusAddress returns the value of LeaderMinusAddress.
-func (s *Failure) GetLeaderMinusAddress() OptString {
-	return s.LeaderMinusAddress
+// GetLeaderAddress returns the value of LeaderAddress.
+func (s *Failure) GetLeaderAddress() OptString {
+	return s.LeaderAddress
 }
 
 // SetKind sets the value of Kind.
@@ -359,9 +359,9 @@
 	s.Leader = val
 }
 
-// SetLeaderMinusAddress sets the value of LeaderMinusAddress.
-func (s *Failure) SetLeaderMinusAddress(val OptString) {
-	s.LeaderMinusAddress = val
+// SetLeaderAddress sets the value of LeaderAddress.
+func (s *Failure) SetLeaderAddress(val OptString) {
+	s.LeaderAddress = val
 }
 
 type FailureKind string
@@ -1280,8 +1280,8 @@
 	// Empty while no leader is known.
 	Leader string `json:"leader"`
 	// The leader's operators address.
-	LeaderMinusAddress OptString `json:"leader-address"`
-	Term               uint64    `json:"term"`
+	LeaderAddress OptString `json:"leader-address"`
+	Term          uint64    `json:"term"`
 	// The last log entry that this instance applied.
 	Applied  uint64 `json:"applied"`
 	Revision uint64 `json:"revision"`
@@ -1304,9 +1304,9 @@
 	return s.Leader
 }
 
-// GetLeaderMinusAddress returns the value of LeaderMinusAddress.
-func (s *Status) GetLeaderMinusAddress() OptString {
-	return s.LeaderMinusAddress
+// GetLeaderAddress returns the value of LeaderAddress.
+func (s *Status) GetLeaderAddress() OptString {
+	return s.LeaderAddress
 }
 
 // GetTerm returns the value of Term.
@@ -1344,9 +1344,9 @@
 	s.Leader = val
 }
 
-// SetLeaderMinusAddress sets the value of LeaderMinusAddress.
-func (s *Status) SetLeaderMinusAddress(val OptString) {
-	s.LeaderMinusAddress = val
+// SetLeaderAddress sets the value of LeaderAddress.
+func (s *Status) SetLeaderAddress(val OptString) {
+	s.LeaderAddress = val
 }
 
 // SetTerm sets the value of Term.
@@ -1371,17 +1371,17 @@
 
 // Ref: #/components/schemas/Target
 type Target struct {
-	Name               string `json:"name"`
-	Service            string `json:"service"`
-	FailureMinusDomain string `json:"failure-domain"`
-	Daemon             string `json:"daemon"`
+	Name          string `json:"name"`
+	Service       string `json:"service"`
+	FailureDomain string `json:"failure-domain"`
+	Daemon        string `json:"daemon"`
 	// The address at which other daemons reach the target's daemon.
-	Address       string `json:"address"`
-	Incarnation   uint64 `json:"incarnation"`
-	State         string `json:"state"`
-	Slots         int    `json:"slots"`
-	InMinusFlight int    `json:"in-flight"`
-	Connections   int    `json:"connections"`
+	Address     string `json:"address"`
+	Incarnation uint64 `json:"incarnation"`
+	State       string `json:"state"`
+	Slots       int    `json:"slots"`
+	InFlight    int    `json:"in-flight"`
+	Connections int    `json:"connections"`
 }
 
 // GetName returns the value of Name.
@@ -1394,9 +1394,9 @@
 	return s.Service
 }
 
-// GetFailureMinusDomain returns the value of FailureMinusDomain.
-func (s *Target) GetFailureMinusDomain() string {
-	return s.FailureMinusDomain
+// GetFailureDomain returns the value of FailureDomain.
+func (s *Target) GetFailureDomain() string {
+	return s.FailureDomain
 }
 
 // GetDaemon returns the value of Daemon.
@@ -1424,9 +1424,9 @@
 	return s.Slots
 }
 
-// GetInMinusFlight returns the value of InMinusFlight.
-func (s *Target) GetInMinusFlight() int {
-	return s.InMinusFlight
+// GetInFlight returns the value of InFlight.
+func (s *Target) GetInFlight() int {
+	return s.InFlight
 }
 
 // GetConnections returns the value of Connections.
@@ -1444,9 +1444,9 @@
 	s.Service = val
 }
 
-// SetFailureMinusDomain sets the value of FailureMinusDomain.
-func (s *Target) SetFailureMinusDomain(val string) {
-	s.FailureMinusDomain = val
+// SetFailureDomain sets the value of FailureDomain.
+func (s *Target) SetFailureDomain(val string) {
+	s.FailureDomain = val
 }
 
 // SetDaemon sets the value of Daemon.
@@ -1474,9 +1474,9 @@
 	s.Slots = val
 }
 
-// SetInMinusFlight sets the value of InMinusFlight.
-func (s *Target) SetInMinusFlight(val int) {
-	s.InMinusFlight = val
+// SetInFlight sets the value of InFlight.
+func (s *Target) SetInFlight(val int) {
+	s.InFlight = val
 }
 
 // SetConnections sets the value of Connections.
--- /dev/null
+++ b/internal/operator/fleet.go
@@ -0,0 +1,60 @@
+package operator
+
+import (
+	"context"
+	"net/netip"
+
+	"sapphirespread.example/internal/api/oas"
+)
+
+func (h *handler) Targets(ctx context.Context) (*oas.Targets, error) {
+	targets, err := h.api.Targets(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &oas.Targets{Targets: mapped(targets, targetTo)}, nil
+}
+
+func (h *handler) Quarantine(ctx context.Context) (*oas.Quarantine, error) {
+	entries, err := h.api.Quarantine(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &oas.Quarantine{Entries: mapped(entries, quarantineEntryTo)}, nil
+}
+
+func (h *handler) Release(ctx context.Context, params oas.ReleaseParams) error {
+	return h.api.Release(ctx, params.Fingerprint)
+}
+
+func (h *handler) Members(ctx context.Context) (*oas.Members, error) {
+	members, err := h.api.Members(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &oas.Members{Members: mapped(members, memberTo)}, nil
+}
+
+func (h *handler) AddMember(ctx context.Context, req *oas.NewMember) error {
+	address, err := netip.ParseAddrPort(req.Address)
+	if err != nil {
+		return NewFailure(Invalid, "reading the member's address: "+err.Error())
+	}
+	return h.api.AddMember(ctx, NewMember{Name: req.Name, Address: address})
+}
+
+func (h *handler) PromoteMember(ctx context.Context, params oas.PromoteMemberParams) error {
+	return h.api.PromoteMember(ctx, params.Name)
+}
+
+func (h *handler) RemoveMember(ctx context.Context, params oas.RemoveMemberParams) error {
+	return h.api.RemoveMember(ctx, params.Name)
+}
+
+func (h *handler) Status(ctx context.Context) (*oas.Status, error) {
+	status, err := h.api.Status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return statusTo(status), nil
+}
--- a/internal/tomlfile/target.go
+++ b/internal/tomlfile/target.go
@@ -58,7 +58,7 @@
 }
 
 func tagOf(field reflect.StructField) string {
-	name := field.Tag.Get(tag)
+	name, _, _ := strings.Cut(field.Tag.Get(tag), ",")
 	if name == "-" {
 		return ""
 	}
