Let a request that may not be repeated run at most once

Cause: a resend of a booking, charge or licence sale must never run twice, whatever daemon, leader or answer is lost. Only the winner gives a claim back, before it ran; a release that overtakes its claim keeps that claim from being won. Keys in the form of a UUID of version 7 are dropped after the retention and stay expired for good; other keys are never dropped and capped by workspace. Outcomes are bounded in bytes: the oldest of the workspace that keeps most goes first. Ruled out: to give a claim without an outcome to another attempt after a while (its daemon may only be frozen); it is answered as finished with an unknown outcome after the run limit.

--- /dev/null
+++ b/claim/bookstats.go
@@ -0,0 +1,9 @@
+package claim
+
+// BookStats holds the sizes of a book.
+type BookStats struct {
+	Keys                 int
+	UntimedKeys          int
+	LargestWorkspaceKeys int
+	OutcomeBytes         int64
+}
--- /dev/null
+++ b/claim/trace_test.go
@@ -0,0 +1,101 @@
+package claim_test
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"sapphirespread.example/claim"
+)
+
+// trace replays commands on a book. A key is given as key=TEXT, or as timed=DURATION for a UUID of version 7 of
+// that time after the epoch; at=DURATION is the log time after the epoch.
+type trace struct {
+	*testing.T
+	book *claim.Book
+}
+
+func (tr *trace) duration(d *datadriven.TestData, name string) time.Duration {
+	text := "0s"
+	d.MaybeScanArgs(tr.T, name, &text)
+	parsed, err := time.ParseDuration(text)
+	if err != nil {
+		d.Fatalf(tr.T, "%s: %v", name, err)
+	}
+	return parsed
+}
+
+func (tr *trace) key(d *datadriven.TestData) claim.Key {
+	k := claim.Key{Workspace: "oslo", Route: "book"}
+	d.MaybeScanArgs(tr.T, "workspace", &k.Workspace)
+	d.MaybeScanArgs(tr.T, "key", &k.IdempotencyKey)
+	if d.HasArg("timed") {
+		k.IdempotencyKey = timedKey(epoch.Add(tr.duration(d, "timed")), 0)
+	}
+	return k
+}
+
+func (tr *trace) claim(d *datadriven.TestData, at time.Time, attempt string) string {
+	hash := 1
+	d.MaybeScanArgs(tr.T, "hash", &hash)
+	state, outcome := tr.book.Claim(at, tr.key(d), attempt, [32]byte{byte(hash)})
+	if outcome == nil {
+		return string(state)
+	}
+	return fmt.Sprintf("%s status=%d headers=%d body=%d kept=%v", state, outcome.Status, len(outcome.Headers), len(outcome.Body), outcome.BodyKept)
+}
+
+func (tr *trace) finish(d *datadriven.TestData, at time.Time, attempt string) string {
+	status, body, header := 200, 0, 0
+	d.MaybeScanArgs(tr.T, "status", &status)
+	d.MaybeScanArgs(tr.T, "body", &body)
+	d.MaybeScanArgs(tr.T, "header", &header)
+	outcome := claim.Outcome{Status: status, Body: make([]byte, body), BodyKept: true}
+	outcome.Headers = []claim.Header{{Name: "X", Values: []string{string(bytes.Repeat([]byte{0xff}, header))}}}
+	return fmt.Sprint(tr.book.Finish(at, tr.key(d), attempt, outcome))
+}
+
+func (tr *trace) restore(options []claim.BookOption) string {
+	snapshot := encoded(tr.T, tr.book)
+	tr.book = claim.NewBook(options...)
+	if err := tr.book.UnmarshalBinary(snapshot); err != nil {
+		return err.Error()
+	}
+	if !bytes.Equal(encoded(tr.T, tr.book), snapshot) {
+		return "restored book differs"
+	}
+	return "same"
+}
+
+func TestTraces(t *testing.T) {
+	datadriven.Walk(t, "testdata/traces", func(t *testing.T, path string) {
+		options := []claim.BookOption{claim.WithMaximumKeys(5, 3), claim.WithMaximumUntimedKeys(2), claim.WithMaximumOutcomeBytes(100)}
+		tr := &trace{T: t, book: claim.NewBook(options...)}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			tr.T = t
+			attempt := ""
+			d.MaybeScanArgs(t, "attempt", &attempt)
+			at := epoch.Add(tr.duration(d, "at"))
+			switch d.Cmd {
+			case "claim":
+				return tr.claim(d, at, attempt)
+			case "release":
+				return fmt.Sprint(tr.book.Release(at, tr.key(d), attempt))
+			case "finish":
+				return tr.finish(d, at, attempt)
+			case "expire":
+				return fmt.Sprint(tr.book.Expire(at))
+			case "stats":
+				return fmt.Sprintf("%+v", tr.book.Stats())
+			case "restore":
+				return tr.restore(options)
+			default:
+				d.Fatalf(t, "command %q is not known", d.Cmd)
+				return ""
+			}
+		})
+	})
+}
