--- /dev/null
+++ b/internal/control/controlpb/doc.go
@@ -0,0 +1,2 @@
+// Package controlpb holds the commands of the replicated log, their results, and the snapshot.
+package controlpb
--- /dev/null
+++ b/internal/control/sessionwrite.go
@@ -0,0 +1,197 @@
+package control
+
+import (
+	"errors"
+	"time"
+
+	"sapphirespread.example/configuration"
+	"sapphirespread.example/internal/peer/peerpb"
+	"sapphirespread.example/quarantine"
+	"sapphirespread.example/target"
+)
+
+const writeTimeout = 3 * time.Second
+
+var errLostLease = errors.New("leader lease lost")
+
+// writeAll sends what is queued and what is new until the session closes.
+func (s *session) writeAll() error {
+	for {
+		select {
+		case <-s.closed:
+			return nil
+		case message := <-s.out:
+			if err := s.write(message); err != nil {
+				return err
+			}
+		case <-s.woken:
+			if err := s.flush(time.Now()); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (s *session) write(message *peerpb.ControlMessage) error {
+	_ = s.stream.SetWriteDeadline(time.Now().Add(writeTimeout))
+	return s.stream.Send(message)
+}
+
+// flush sends new configuration, targets and quarantine, and only then a confirmation of them.
+func (s *session) flush(now time.Time) error {
+	revision, err := s.sendConfiguration()
+	if err != nil {
+		return err
+	}
+	if err := s.sendMembership(); err != nil {
+		return err
+	}
+	if err := s.sendQuarantine(now); err != nil {
+		return err
+	}
+	return s.sendConfirm(revision)
+}
+
+func (s *session) sendConfiguration() (uint64, error) {
+	from := s.sent.revision
+	var changes []configuration.Change
+	var to uint64
+	var whole bool
+	s.control.store.Read(func() {
+		to = s.control.state.configuration.Revision()
+		if to != from {
+			changes, whole = s.control.state.configuration.Delta(from)
+		}
+	})
+	if to == from {
+		return to, nil
+	}
+	delta := &peerpb.ConfigurationDelta{From: from, To: to, Whole: whole}
+	for _, change := range changes {
+		delta.Changes = append(delta.Changes, &peerpb.ObjectChange{
+			Kind:    string(change.Kind),
+			Name:    change.Name,
+			Body:    change.Body,
+			Removed: change.Removed,
+		})
+	}
+	s.sent.revision = to
+	return to, s.write(&peerpb.ControlMessage{Body: &peerpb.ControlMessage_Configuration{Configuration: delta}})
+}
+
+func (s *session) sendMembership() error {
+	s.mu.Lock()
+	services, isNew := s.services, s.newService
+	s.newService = false
+	s.mu.Unlock()
+	if len(services) == 0 {
+		return nil
+	}
+	from := s.sent.membership
+	if isNew || s.sent.epoch != s.leadership.term || !s.sent.hasTargets {
+		from = 0
+	}
+	s.leadership.targetMu.Lock()
+	version := s.leadership.targets.Version()
+	if from == version && s.sent.hasTargets && !isNew {
+		s.leadership.targetMu.Unlock()
+		return nil
+	}
+	changes, to, whole := s.leadership.targets.Delta(from, services)
+	s.leadership.targetMu.Unlock()
+	delta := &peerpb.MembershipDelta{Epoch: s.leadership.term, From: from, To: to, Whole: whole}
+	for _, change := range changes {
+		delta.Changes = append(delta.Changes, &peerpb.MembershipChange{
+			Target:  encodeTarget(change.Target),
+			Removed: change.Removed,
+		})
+	}
+	s.sent.epoch, s.sent.membership, s.sent.hasTargets = s.leadership.term, to, true
+	return s.write(&peerpb.ControlMessage{Body: &peerpb.ControlMessage_Membership{Membership: delta}})
+}
+
+func encodeTarget(t target.Target) *peerpb.Announce {
+	return &peerpb.Announce{
+		Target:        t.Name,
+		Service:       t.Service,
+		FailureDomain: t.FailureDomain,
+		PeerAddress:   t.Peer.String(),
+		Incarnation:   t.Incarnation,
+		Slots:         int32(t.Slots),
+		State:         string(t.State),
+		InFlight:      int32(t.InFlight),
+		Daemon:        t.Daemon,
+		Connections:   int32(t.Connections),
+	}
+}
+
+func (s *session) sendQuarantine(now time.Time) error {
+	from := s.sent.quarantine
+	var delta *peerpb.QuarantineDelta
+	s.control.store.Read(func() {
+		if s.control.state.quarantine.Version() != from {
+			delta = quarantineDelta(s.control.state.quarantine, from, now)
+		}
+	})
+	if delta == nil {
+		return nil
+	}
+	if err := s.write(&peerpb.ControlMessage{Body: &peerpb.ControlMessage_Quarantine{Quarantine: delta}}); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent.quarantine = delta.GetVersion()
+	return nil
+}
+
+func quarantineDelta(register *quarantine.Register, from uint64, now time.Time) *peerpb.QuarantineDelta {
+	entries, cleared, to, whole := register.Delta(from)
+	delta := &peerpb.QuarantineDelta{Version: to, Whole: whole}
+	for _, entry := range entries {
+		encoded := &peerpb.QuarantineEntry{
+			Fingerprint: entry.Fingerprint[:],
+			State:       string(entry.State),
+			RemainingUs: entry.Until.Sub(now).Microseconds(),
+		}
+		for _, crash := range entry.Crashes {
+			encoded.Crashes = append(encoded.Crashes, crash.ID)
+		}
+		delta.Entries = append(delta.Entries, encoded)
+	}
+	for _, fingerprint := range cleared {
+		delta.Cleared = append(delta.Cleared, fingerprint[:])
+	}
+	return delta
+}
+
+// hasQuarantine reports whether the daemon has been sent version.
+func (s *session) hasQuarantine(version uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sent.quarantine >= version
+}
+
+// sendConfirm confirms the latest heartbeat, where this instance still holds the leader lease.
+func (s *session) sendConfirm(revision uint64) error {
+	s.mu.Lock()
+	heartbeat := s.confirm
+	s.confirm = nil
+	s.mu.Unlock()
+	if heartbeat == nil {
+		return nil
+	}
+	if !s.control.leads(s.leadership.term) {
+		redirect := &peerpb.Redirect{Reason: "this instance cannot show the leader lease"}
+		_ = s.write(&peerpb.ControlMessage{Body: &peerpb.ControlMessage_Redirect{Redirect: redirect}})
+		return errLostLease
+	}
+	confirm := &peerpb.Confirm{
+		Sequence:          heartbeat.GetSequence(),
+		Revision:          revision,
+		MembershipVersion: s.sent.membership,
+		QuarantineVersion: s.sent.quarantine,
+		Stamp:             s.control.stamp(heartbeat.GetStamp()),
+	}
+	return s.write(&peerpb.ControlMessage{Body: &peerpb.ControlMessage_Confirm{Confirm: confirm}})
+}
--- /dev/null
+++ b/internal/control/state.go
@@ -0,0 +1,195 @@
+package control
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"sapphirespread.example/claim"
+	"sapphirespread.example/configuration"
+	"sapphirespread.example/internal/control/controlpb"
+	"sapphirespread.example/internal/peer/peerpb"
+	"sapphirespread.example/quarantine"
+)
+
+// A state is what the replicated log makes: the published configuration, the claims and the quarantine.
+type state struct {
+	configuration *configuration.Registry
+	claims        *claim.Book
+	quarantine    *quarantine.Register
+}
+
+func newState() *state {
+	return &state{
+		configuration: configuration.NewRegistry(),
+		claims:        claim.NewBook(),
+		quarantine:    quarantine.NewRegister(),
+	}
+}
+
+// Apply applies one command of the log at the leader's log time.
+func (s *state) Apply(at time.Time, _ uint64, command []byte) []byte {
+	var decoded controlpb.Command
+	if err := proto.Unmarshal(command, &decoded); err != nil {
+		return nil
+	}
+	result := &controlpb.Result{}
+	switch body := decoded.GetBody().(type) {
+	case *controlpb.Command_Publish:
+		result.Body = &controlpb.Result_Publish{Publish: s.publish(at, body.Publish)}
+	case *controlpb.Command_Claims:
+		result.Body = &controlpb.Result_Claims{Claims: s.claim(at, body.Claims)}
+	default:
+		done := s.applyQuarantine(at, &decoded)
+		result.Body = &controlpb.Result_Done{Done: done}
+	}
+	encoded, err := proto.Marshal(result)
+	if err != nil {
+		return nil
+	}
+	return encoded
+}
+
+func (s *state) publish(at time.Time, encoded []byte) []byte {
+	var publish configuration.Publish
+	if err := publish.UnmarshalBinary(encoded); err != nil {
+		return nil
+	}
+	answer, err := json.Marshal(s.configuration.Publish(at, publish))
+	if err != nil {
+		return nil
+	}
+	return answer
+}
+
+func (s *state) claim(at time.Time, batch *controlpb.ClaimBatch) *controlpb.ClaimResults {
+	s.claims.Expire(at)
+	results := &controlpb.ClaimResults{}
+	for _, step := range batch.GetSteps() {
+		results.Answers = append(results.Answers, s.claimStep(at, step))
+	}
+	return results
+}
+
+func (s *state) claimStep(at time.Time, step *controlpb.ClaimStep) *peerpb.ClaimAnswer {
+	switch body := step.GetBody().(type) {
+	case *controlpb.ClaimStep_Request:
+		return s.claimRequest(at, body.Request)
+	case *controlpb.ClaimStep_Release:
+		s.claims.Release(at, decodeClaimKey(body.Release.GetKey()), body.Release.GetAttempt())
+	case *controlpb.ClaimStep_Finish:
+		s.claims.Finish(at, decodeClaimKey(body.Finish.GetKey()), body.Finish.GetAttempt(), decodeOutcome(body.Finish.GetOutcome()))
+	}
+	return &peerpb.ClaimAnswer{}
+}
+
+func (s *state) claimRequest(at time.Time, request *peerpb.ClaimRequest) *peerpb.ClaimAnswer {
+	var hash [32]byte
+	copy(hash[:], request.GetRequestHash())
+	claimed, outcome := s.claims.Claim(at, decodeClaimKey(request.GetKey()), request.GetAttempt(), hash)
+	answer := &peerpb.ClaimAnswer{Id: request.GetId(), State: string(claimed)}
+	if outcome != nil {
+		answer.Outcome = encodeOutcome(*outcome)
+	}
+	return answer
+}
+
+func decodeClaimKey(encoded *peerpb.ClaimKey) claim.Key {
+	return claim.Key{
+		Workspace:      encoded.GetWorkspace(),
+		Route:          encoded.GetRoute(),
+		IdempotencyKey: encoded.GetIdempotencyKey(),
+	}
+}
+
+func decodeOutcome(encoded *peerpb.ClaimOutcome) claim.Outcome {
+	outcome := claim.Outcome{
+		Status:   int(encoded.GetStatus()),
+		Body:     encoded.GetBody(),
+		BodyKept: encoded.GetBodyKept(),
+	}
+	for _, line := range encoded.GetHeaders() {
+		outcome.Headers = append(outcome.Headers, claim.Header{Name: line.GetName(), Values: line.GetValues()})
+	}
+	return outcome
+}
+
+func encodeOutcome(outcome claim.Outcome) *peerpb.ClaimOutcome {
+	encoded := &peerpb.ClaimOutcome{
+		Status:   int32(outcome.Status),
+		Body:     outcome.Body,
+		BodyKept: outcome.BodyKept,
+	}
+	for _, line := range outcome.Headers {
+		encoded.Headers = append(encoded.Headers, &peerpb.Header{Name: line.Name, Values: line.Values})
+	}
+	return encoded
+}
+
+// applyQuarantine applies a command on the quarantine and reports whether it did what was asked.
+func (s *state) applyQuarantine(at time.Time, command *controlpb.Command) bool {
+	s.quarantine.Expire(at)
+	switch body := command.GetBody().(type) {
+	case *controlpb.Command_Suspects:
+		suspects := make([]quarantine.Fingerprint, 0, len(body.Suspects.GetFingerprints()))
+		for _, encoded := range body.Suspects.GetFingerprints() {
+			suspects = append(suspects, decodeFingerprint(encoded))
+		}
+		s.quarantine.Report(at, body.Suspects.GetCrash(), body.Suspects.GetTarget(), suspects)
+		return true
+	case *controlpb.Command_Ran:
+		return s.quarantine.Ran(at, decodeFingerprint(body.Ran.GetFingerprint()), body.Ran.GetTarget())
+	case *controlpb.Command_Trial:
+		return s.quarantine.Trial(at, decodeFingerprint(body.Trial.GetFingerprint()), body.Trial.GetTarget())
+	case *controlpb.Command_TrialEnd:
+		return s.quarantine.EndTrial(at, decodeFingerprint(body.TrialEnd.GetFingerprint()), body.TrialEnd.GetTarget())
+	case *controlpb.Command_Release:
+		return s.quarantine.Release(at, decodeFingerprint(body.Release.GetFingerprint()))
+	}
+	return false
+}
+
+func decodeFingerprint(encoded []byte) quarantine.Fingerprint {
+	var fingerprint quarantine.Fingerprint
+	copy(fingerprint[:], encoded)
+	return fingerprint
+}
+
+// Snapshot encodes the whole state.
+func (s *state) Snapshot() ([]byte, error) {
+	configured, err := s.configuration.MarshalBinary()
+	if err != nil {
+		return nil, fmt.Errorf("encoding the configuration: %w", err)
+	}
+	claims, err := s.claims.MarshalBinary()
+	if err != nil {
+		return nil, fmt.Errorf("encoding the claims: %w", err)
+	}
+	quarantined, err := s.quarantine.MarshalBinary()
+	if err != nil {
+		return nil, fmt.Errorf("encoding the quarantine: %w", err)
+	}
+	return proto.Marshal(&controlpb.Snapshot{Configuration: configured, Claims: claims, Quarantine: quarantined})
+}
+
+// Restore replaces the state by that of a snapshot.
+func (s *state) Restore(encoded []byte) error {
+	var snapshot controlpb.Snapshot
+	if err := proto.Unmarshal(encoded, &snapshot); err != nil {
+		return fmt.Errorf("decoding a snapshot: %w", err)
+	}
+	restored := newState()
+	if err := restored.configuration.UnmarshalBinary(snapshot.GetConfiguration()); err != nil {
+		return fmt.Errorf("restoring the configuration: %w", err)
+	}
+	if err := restored.claims.UnmarshalBinary(snapshot.GetClaims()); err != nil {
+		return fmt.Errorf("restoring the claims: %w", err)
+	}
+	if err := restored.quarantine.UnmarshalBinary(snapshot.GetQuarantine()); err != nil {
+		return fmt.Errorf("restoring the quarantine: %w", err)
+	}
+	*s = *restored
+	return nil
+}
--- /dev/null
+++ b/internal/daemon/claim.go
@@ -0,0 +1,132 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	"sapphirespread.example/claim"
+	"sapphirespread.example/refusal"
+)
+
+const (
+	maxOutcomeBytes = 16 << 10
+	claimRunBound   = 10 * time.Second
+	claimWaitBound  = 2 * time.Second
+)
+
+// A heldClaim is the right to run one request that may not be repeated.
+type heldClaim struct {
+	link     *link
+	key      claim.Key
+	attempt  string
+	kept     bytes.Buffer
+	overflow bool
+}
+
+// claim wins the right to run c, or returns the stored answer of an earlier run, or a refusal.
+func (d *Daemon) claim(ctx context.Context, c *call) (*heldClaim, *answer, *attemptError) {
+	held := &heldClaim{
+		link:    d.link,
+		key:     claim.Key{Workspace: c.workspace, Route: c.route, IdempotencyKey: c.idempotencyKey},
+		attempt: uuid.NewString(),
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimWaitBound)
+	defer cancel()
+	sentAt := time.Now()
+	state, outcome, err := d.link.claim(ctx, held.key, held.attempt, c.requestHash)
+	if err != nil {
+		held.release()
+		return nil, nil, refuse(refusal.ClaimUnavailable, err.Error())
+	}
+	if state != claim.Won {
+		replay, refused := answerOfClaim(state, outcome)
+		return nil, replay, refused
+	}
+	if time.Since(sentAt) > claimRunBound {
+		held.release()
+		return nil, nil, refuse(refusal.ClaimUnavailable, "the claim was granted too late")
+	}
+	return held, nil, nil
+}
+
+// answerOfClaim returns what a request that did not win its claim is answered.
+func answerOfClaim(state claim.State, outcome *claim.Outcome) (*answer, *attemptError) {
+	switch state {
+	case claim.Finished:
+		if outcome == nil || outcome.Status == 0 || !outcome.BodyKept {
+			return nil, refuse(refusal.OutcomeUnknown, "")
+		}
+		return replayedAnswer(outcome), nil
+	case claim.Running:
+		return nil, refuse(refusal.ClaimInProgress, "")
+	case claim.Expired:
+		return nil, refuse(refusal.IdempotencyKeyExpired, "")
+	case claim.Invalid:
+		return nil, refuse(refusal.IdempotencyKeyInvalid, "")
+	case claim.Reused:
+		return nil, refuse(refusal.IdempotencyKeyReused, "")
+	default:
+		return nil, refuse(refusal.ClaimUnavailable, "claim state "+string(state))
+	}
+}
+
+func replayedAnswer(outcome *claim.Outcome) *answer {
+	header := make(http.Header, len(outcome.Headers)+1)
+	for _, line := range outcome.Headers {
+		header[line.Name] = line.Values
+	}
+	header[headerReplayed] = []string{"true"}
+	return &answer{
+		status:        outcome.Status,
+		header:        header,
+		contentLength: int64(len(outcome.Body)),
+		body:          storedBody{bytes.NewReader(outcome.Body)},
+	}
+}
+
+// A storedBody is the body of an answer that was kept with its claim.
+type storedBody struct {
+	io.Reader
+}
+
+// Close does nothing, as nothing runs.
+func (storedBody) Close() error { return nil }
+
+// Trailer returns none.
+func (storedBody) Trailer() http.Header { return nil }
+
+// keep adds to the body that is stored with the outcome.
+func (h *heldClaim) keep(content []byte) {
+	if h.overflow || h.kept.Len()+len(content) > maxOutcomeBytes {
+		h.overflow = true
+		return
+	}
+	h.kept.Write(content)
+}
+
+// finish stores the outcome of the run.
+func (h *heldClaim) finish(status int, header http.Header) {
+	outcome := claim.Outcome{Status: status, BodyKept: !h.overflow}
+	if outcome.BodyKept {
+		outcome.Body = h.kept.Bytes()
+		for name, values := range header {
+			outcome.Headers = append(outcome.Headers, claim.Header{Name: name, Values: values})
+		}
+	}
+	h.link.finishClaim(h.key, h.attempt, outcome)
+}
+
+// finishUnknown stores that the run may have happened and that its outcome is not known.
+func (h *heldClaim) finishUnknown() {
+	h.link.finishClaim(h.key, h.attempt, claim.Outcome{})
+}
+
+// release gives the claim back before the run.
+func (h *heldClaim) release() {
+	h.link.releaseClaim(h.key, h.attempt)
+}
--- /dev/null
+++ b/internal/daemon/crash.go
@@ -0,0 +1,71 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+const (
+	crashProbeTimeout  = 200 * time.Millisecond
+	suspectSpreadBound = time.Second
+)
+
+// probeCrash dials the backend server after a connection failed, and reports whether it is gone.
+func probeCrash(ctx context.Context, address netip.AddrPort) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), crashProbeTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", address.String())
+	if err != nil {
+		return true
+	}
+	_ = conn.Close()
+	return false
+}
+
+// A crashReport is the spreading of the suspects of one crash.
+type crashReport struct {
+	incarnation uint64
+	spread      chan struct{}
+}
+
+// A crashDesk makes one report of each crash, for which all calls that it broke wait.
+type crashDesk struct {
+	mu     sync.Mutex
+	latest *crashReport
+}
+
+// open returns the report of incarnation's crash, and whether the caller is to make it.
+func (c *crashDesk) open(incarnation uint64) (*crashReport, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.latest != nil && c.latest.incarnation == incarnation {
+		return c.latest, false
+	}
+	c.latest = &crashReport{incarnation: incarnation, spread: make(chan struct{})}
+	return c.latest, true
+}
+
+// handleCrash reports the calls that were in flight at the crashed incarnation, and returns once
+// the suspects have been spread to all daemons or the bound has passed.
+func (d *Daemon) handleCrash(name string, incarnation uint64) {
+	report, first := d.crashes.open(incarnation)
+	if !first {
+		<-report.spread
+		return
+	}
+	defer close(report.spread)
+	d.backend.crashed(incarnation)
+	suspects := d.watch.Crash()
+	crash := fmt.Sprintf("%s/%d", name, incarnation)
+	d.counters.crashes.Add(1)
+	d.record("crash", fmt.Sprintf("backend server %s crashed with %d requests in flight", name, len(suspects)))
+	d.logger.Error().Str("target", name).Int("suspects", len(suspects)).Msg("daemon: backend server crashed")
+	ctx, cancel := context.WithTimeout(context.Background(), suspectSpreadBound)
+	defer cancel()
+	d.link.reportSuspects(ctx, crash, name, suspects)
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,276 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"sapphirespread.example/configuration"
+	"sapphirespread.example/internal/peer"
+	"sapphirespread.example/internal/settings"
+	"sapphirespread.example/limit"
+	"sapphirespread.example/priority"
+	"sapphirespread.example/quarantine"
+	"sapphirespread.example/retry"
+	"sapphirespread.example/target"
+	"sapphirespread.example/timeline"
+)
+
+const (
+	timelineSize   = 4096
+	maxHeaderBytes = 64 << 10
+	drainNotice    = 500 * time.Millisecond
+)
+
+// A Daemon is the process beside one backend server.
+type Daemon struct {
+	settings    settings.Daemon
+	logger      zerolog.Logger
+	tls         *tls.Config
+	listeners   Listeners
+	incarnation uint64
+	clock       *timeline.Clock
+	ring        *timeline.Ring
+	view        *configuration.View
+	table       *target.Table
+	chooser     *target.Chooser
+	holder      *limit.Holder
+	tokenWait   *tokenWait
+	gate        *gate
+	budgets     *budgets
+	watch       *quarantine.Watch
+	quarantine  *quarantine.List
+	crashes     crashDesk
+	tokens      *tokenTable
+	backend     *backend
+	pool        *peer.Pool
+	peers       *peer.Server
+	link        *link
+	counters    *counters
+	inFlight    *inFlight
+	callIDs     atomic.Uint64
+	stopping    atomic.Bool
+	refusing    atomic.Bool
+}
+
+// New returns a daemon of s that serves nothing until Run.
+func New(s settings.Daemon, options ...Option) *Daemon {
+	d := &Daemon{
+		settings:    s,
+		logger:      zerolog.Nop(),
+		incarnation: uint64(time.Now().UnixNano()),
+		clock:       timeline.NewClock(),
+		view:        configuration.NewView(configuration.WithFreshness(s.Freshness)),
+		table:       target.NewTable(),
+		holder:      limit.NewHolder(),
+		budgets:     newBudgets(),
+		watch:       quarantine.NewWatch(),
+		quarantine:  quarantine.NewList(),
+		tokens:      newTokenTable(),
+		counters:    newCounters(),
+		inFlight:    newInFlight(),
+	}
+	for _, option := range options {
+		option(d)
+	}
+	d.ring = timeline.NewRing(d.clock, s.Name, timelineSize)
+	d.backend = newBackend(d.incarnation)
+	d.chooser = target.NewChooser(d.table, target.WithFailureDomain(s.FailureDomain), target.WithDaemon(s.Name))
+	d.gate = newGate(priority.NewAdmission())
+	d.link = newLink(d)
+	d.tokenWait = newTokenWait(d.holder, d.link.kick)
+	d.publishGauges()
+	return d
+}
+
+// Run serves until ctx ends, then stops gracefully: new work is refused as not run, and what is in
+// flight is finished.
+func (d *Daemon) Run(ctx context.Context) error {
+	if err := d.listen(); err != nil {
+		return err
+	}
+	servers, err := d.servers()
+	if err != nil {
+		return err
+	}
+	d.openPeers()
+	defer d.gate.close()
+	linkCtx, stopLink := context.WithCancel(context.Background())
+	defer stopLink()
+	group, groupCtx := errgroup.WithContext(ctx)
+	for _, server := range servers {
+		group.Go(func() error { return server.serve() })
+	}
+	group.Go(func() error { return d.peers.Serve(d.listeners.Peers) })
+	linkEnded := make(chan struct{})
+	go func() {
+		defer close(linkEnded)
+		d.link.run(linkCtx)
+	}()
+	group.Go(func() error {
+		<-groupCtx.Done()
+		d.stop(servers, stopLink, linkEnded)
+		return nil
+	})
+	d.record("daemon", "started")
+	d.logger.Info().Stringer("callers", d.listeners.Callers.Addr()).Stringer("peers", d.listeners.Peers.Addr()).Msg("daemon: serving")
+	return group.Wait()
+}
+
+func (d *Daemon) listen() error {
+	wanted := []struct {
+		listener *net.Listener
+		address  netip.AddrPort
+		name     string
+	}{
+		{&d.listeners.Callers, d.settings.CallersListen, "callers"},
+		{&d.listeners.Peers, d.settings.PeerListen, "peers"},
+		{&d.listeners.Subcalls, d.settings.SubcallsListen, "sub-calls"},
+		{&d.listeners.Operators, d.settings.OperatorsListen, "operators"},
+	}
+	for _, w := range wanted {
+		if *w.listener != nil {
+			continue
+		}
+		listener, err := net.Listen("tcp", w.address.String())
+		if err != nil {
+			return fmt.Errorf("listening for %s on %s: %w", w.name, w.address, err)
+		}
+		*w.listener = listener
+	}
+	return nil
+}
+
+func (d *Daemon) openPeers() {
+	self := peer.Identity{Cluster: d.settings.Cluster, Process: d.settings.Name, Incarnation: d.incarnation}
+	d.pool = peer.NewPool(self, peer.WithPoolLogger(d.logger), peer.WithPoolTLS(d.tls), peer.WithDialTimeout(d.settings.Timeouts.Dial))
+	d.peers = peer.NewServer(self, peer.WithServerLogger(d.logger), peer.WithServerTLS(d.tls))
+	d.peers.Handle(kindCall, d.serveCall)
+}
+
+// A httpServer serves one listener.
+type httpServer struct {
+	*http.Server
+	listener net.Listener
+}
+
+func (s httpServer) serve() error {
+	err := s.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func (d *Daemon) servers() ([]httpServer, error) {
+	operators, err := d.operatorsHandler()
+	if err != nil {
+		return nil, fmt.Errorf("serving operators: %w", err)
+	}
+	subcalls := http.NewServeMux()
+	subcalls.HandleFunc("PUT "+announcePath, d.serveAnnounce)
+	subcalls.HandleFunc("DELETE "+announcePath+"/{name}", d.serveLeave)
+	subcalls.HandleFunc("/", d.serveSubcall)
+	return []httpServer{
+		{newHTTPServer(http.HandlerFunc(d.serveCaller), d.settings.Timeouts), d.listeners.Callers},
+		{newHTTPServer(subcalls, d.settings.Timeouts), d.listeners.Subcalls},
+		{newHTTPServer(operators, d.settings.Timeouts), d.listeners.Operators},
+	}, nil
+}
+
+func newHTTPServer(handler http.Handler, timeouts settings.Timeouts) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: timeouts.ReadHeader,
+		IdleTimeout:       timeouts.Idle,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+// stop refuses callers at once and other daemons once they could have heard, waits for what is in flight, returns unspent tokens and closes all sockets.
+func (d *Daemon) stop(servers []httpServer, stopLink func(), linkEnded <-chan struct{}) {
+	d.record("daemon", "stopping")
+	d.logger.Info().Msg("daemon: stopping")
+	d.stopping.Store(true)
+	d.link.kickHeartbeat()
+	time.Sleep(drainNotice)
+	d.refusing.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Timeouts.Drain)
+	defer cancel()
+	if err := d.inFlight.wait(ctx); err != nil {
+		d.logger.Warn().Int("requests", d.inFlight.current()).Msg("daemon: requests cut after the drain timeout")
+	}
+	stopLink()
+	<-linkEnded
+	for _, server := range servers {
+		if server.Shutdown(ctx) != nil {
+			_ = server.Close()
+		}
+	}
+	_ = d.peers.Close()
+	_ = d.pool.Close()
+	d.backend.transport.CloseIdleConnections()
+	d.logger.Info().Msg("daemon: stopped")
+}
+
+// CallersAddress returns where callers are served.
+func (d *Daemon) CallersAddress() netip.AddrPort {
+	return addressOf(d.listeners.Callers)
+}
+
+// SubcallsAddress returns where the backend server announces itself and makes sub-calls.
+func (d *Daemon) SubcallsAddress() netip.AddrPort {
+	return addressOf(d.listeners.Subcalls)
+}
+
+func addressOf(listener net.Listener) netip.AddrPort {
+	address, _ := netip.ParseAddrPort(listener.Addr().String())
+	return address
+}
+
+func (d *Daemon) peerAddress() netip.AddrPort {
+	if d.settings.PeerAdvertise.IsValid() {
+		return d.settings.PeerAdvertise
+	}
+	return addressOf(d.listeners.Peers)
+}
+
+func (d *Daemon) operatorsAddress() netip.AddrPort {
+	return addressOf(d.listeners.Operators)
+}
+
+// Events returns the daemon's part of the time line.
+func (d *Daemon) Events() []timeline.Event {
+	return d.ring.Events()
+}
+
+func (d *Daemon) record(part, text string) {
+	d.ring.Record(time.Now(), part, text)
+}
+
+func (d *Daemon) now() time.Time {
+	return time.Now()
+}
+
+func (d *Daemon) snapshot() configuration.Snapshot {
+	snapshot, _ := d.view.Current(time.Now())
+	return snapshot
+}
+
+func (d *Daemon) budget(service string) *retry.Budget {
+	return d.budgets.of(service)
+}
+
+// isOwn reports whether the target is the backend server beside this daemon.
+func (d *Daemon) isOwn(t target.Target) bool {
+	return t.Daemon == d.settings.Name
+}
--- /dev/null
+++ b/internal/daemon/dispatch.go
@@ -0,0 +1,198 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"sapphirespread.example/refusal"
+	"sapphirespread.example/retry"
+	"sapphirespread.example/target"
+)
+
+const membershipWaitBound = time.Second
+
+// dispatch sends c to targets of its service until one answers or no attempt is left.
+func (d *Daemon) dispatch(ctx context.Context, c *call) (*answer, *attemptError) {
+	d.link.need(ctx, c.service)
+	var tried []string
+	for {
+		chosen, refused := d.choose(c, tried)
+		if refused != nil {
+			return nil, refused
+		}
+		answer, failed := d.attempt(ctx, c, chosen)
+		if failed == nil {
+			return answer, nil
+		}
+		if !d.mayRetry(ctx, c, failed) {
+			return nil, failed
+		}
+		tried = append(tried, chosen.Target.Name)
+		d.counters.retries.Add(1)
+		if !sleep(ctx, retry.Backoff(newRandom(), len(tried))) {
+			return nil, failed
+		}
+	}
+}
+
+func sleep(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (d *Daemon) choose(c *call, tried []string) (target.Choice, *attemptError) {
+	now := time.Now()
+	chosen, found, shed := d.chooser.Choose(now, rand.Uint64(), c.service, c.wholeHash(), c.priority, tried)
+	if !found && len(tried) > 0 && !shed {
+		chosen, found, shed = d.chooser.Choose(now, rand.Uint64(), c.service, c.wholeHash(), c.priority, nil)
+	}
+	if shed {
+		return chosen, refuse(refusal.Overloaded, "shed before it was sent")
+	}
+	if !found {
+		return chosen, refuse(refusal.NoTarget, "service "+c.service)
+	}
+	return chosen, nil
+}
+
+// attempt sends c once to the chosen target.
+func (d *Daemon) attempt(ctx context.Context, c *call, chosen target.Choice) (*answer, *attemptError) {
+	given := c.allowance.Take((c.allowance.Left() + 1) / 2)
+	a := &attempt{daemon: d, parent: c, target: chosen.Target, sentAt: time.Now()}
+	child := c.child(d.nextCallID(), given)
+	d.chooser.Sent(a.sentAt, chosen.Target.Name)
+	var got *answer
+	var failed *attemptError
+	if d.isOwn(chosen.Target) {
+		got, failed = d.runLocal(ctx, child, chosen.Target.Name, chosen.Target.Incarnation, a.done)
+	} else {
+		got, failed = d.runRemote(ctx, child, chosen.Target, a.done)
+	}
+	a.settle(failed)
+	return got, failed
+}
+
+// child returns c as it is sent to one target, with a part of the allowance.
+func (c *call) child(id uint64, allowance int) *call {
+	return &call{
+		id:             id,
+		wholeID:        c.wholeID,
+		workspace:      c.workspace,
+		share:          c.share,
+		route:          c.route,
+		service:        c.service,
+		priority:       c.priority,
+		deadline:       c.deadline,
+		repeatable:     c.repeatable,
+		depth:          c.depth,
+		attempt:        c.attempt,
+		allowance:      retry.NewAllowance(allowance),
+		idempotencyKey: c.idempotencyKey,
+		requestHash:    c.requestHash,
+		fingerprint:    c.fingerprint,
+		head:           c.head,
+		body:           c.body,
+	}
+}
+
+// mayRetry reports whether c may be sent again after failed, and if so takes what that costs.
+func (d *Daemon) mayRetry(ctx context.Context, c *call, failed *attemptError) bool {
+	if ctx.Err() != nil || !c.body.sendable() || !retryable(c, failed) {
+		return false
+	}
+	if c.allowance.Take(1) == 0 {
+		return false
+	}
+	if !d.budget(c.service).Withdraw(time.Now()) {
+		c.allowance.Return(1)
+		return false
+	}
+	c.attempt++
+	return true
+}
+
+// retryable reports whether another target may do better without the request running twice.
+func retryable(c *call, failed *attemptError) bool {
+	if failed.crashed != "" {
+		return false
+	}
+	switch failed.kind {
+	case refusal.TargetUnreachable, refusal.Draining, refusal.Overloaded:
+		return failed.notRun
+	case refusal.TargetFailed, refusal.AnswerCut:
+		return c.repeatable
+	default:
+		return false
+	}
+}
+
+// An attempt is one sending of a call to one target.
+type attempt struct {
+	daemon  *Daemon
+	parent  *call
+	target  target.Target
+	sentAt  time.Time
+	mu      sync.Mutex
+	report  callReport
+	ended   bool
+	settled bool
+	failed  *attemptError
+}
+
+// done takes the target's report at the end of the call.
+func (a *attempt) done(report callReport) {
+	a.parent.allowance.Return(report.unused)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.report = report
+	a.ended = true
+	a.observe()
+}
+
+// settle says how the sending ended: with an answer whose body is still to be read, or with failed.
+func (a *attempt) settle(failed *attemptError) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.failed = failed
+	a.settled = true
+	a.observe()
+}
+
+// observe tells the chooser once both the report and the result of the sending are known.
+func (a *attempt) observe() {
+	if !a.ended || !a.settled {
+		return
+	}
+	now := time.Now()
+	kind := observationKind(a.failed)
+	if kind == target.OK {
+		a.daemon.budget(a.parent.service).Success(now)
+	}
+	a.daemon.chooser.Answered(now, a.target.Name, target.Observation{
+		Latency:  now.Sub(a.sentAt),
+		Kind:     kind,
+		Level:    a.report.level,
+		Draining: a.report.draining,
+	})
+}
+
+func observationKind(failed *attemptError) target.AnswerKind {
+	switch {
+	case failed == nil:
+		return target.OK
+	case failed.kind == refusal.TargetUnreachable || failed.kind == refusal.NoTarget:
+		return target.Unreachable
+	case failed.notRun || failed.kind == refusal.Cancelled:
+		return target.Refused
+	default:
+		return target.Failed
+	}
+}
--- /dev/null
+++ b/internal/daemon/entry.go
@@ -0,0 +1,209 @@
+package daemon
+
+import (
+	"context"
+	"crypto/sha256"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+
+	"sapphirespread.example/configuration"
+	"sapphirespread.example/quarantine"
+	"sapphirespread.example/refusal"
+	"sapphirespread.example/retry"
+)
+
+// serveCaller serves one request of a caller.
+func (d *Daemon) serveCaller(w http.ResponseWriter, r *http.Request) {
+	d.inFlight.add()
+	defer d.inFlight.done()
+	d.counters.requests.Add(1)
+	secret := takeKey(r.Header)
+	if d.stopping.Load() {
+		w.Header().Set("Connection", "close")
+		d.refuseCaller(w, refuse(refusal.Draining, ""))
+		return
+	}
+	c, refused := d.enter(r, secret)
+	if refused != nil {
+		d.refuseCaller(w, refused)
+		return
+	}
+	d.serveRequest(w, r, c, func(ctx context.Context) *attemptError {
+		if c.workspace == "" {
+			return nil
+		}
+		return d.tokenWait.spend(ctx, c.workspace)
+	})
+}
+
+// enter identifies the workspace and the route of a caller's request.
+func (d *Daemon) enter(r *http.Request, secret string) (*call, *attemptError) {
+	snapshot, fresh := d.view.Current(time.Now())
+	matched, refused := matchRoute(snapshot, r)
+	if refused != nil {
+		if !fresh {
+			return nil, refuse(refusal.ConfigurationStale, "")
+		}
+		return nil, refused
+	}
+	c := newCall(r, matched)
+	c.priority = priorityLevel(snapshot, matched.Priority)
+	c.wholeID = newWholeID()
+	c.share = 1
+	if !matched.Open {
+		refused = identify(snapshot, fresh, secret, matched, c)
+	}
+	if refused == nil && !c.repeatable {
+		refused = c.takeIdempotencyKey(r)
+	}
+	return c, refused
+}
+
+func newWholeID() string {
+	id, err := uuid.NewV7()
+	if err != nil {
+		return uuid.NewString()
+	}
+	return id.String()
+}
+
+func matchRoute(snapshot configuration.Snapshot, r *http.Request) (configuration.Route, *attemptError) {
+	if snapshot.Revision == 0 {
+		return configuration.Route{}, refuse(refusal.ConfigurationStale, "no configuration yet")
+	}
+	matched, found := snapshot.Match(r.Method, r.Host, r.URL.Path)
+	if !found {
+		return matched, refuse(refusal.NoRoute, r.Method+" "+r.URL.Path)
+	}
+	return matched, nil
+}
+
+// identify sets the workspace whose key came with the request.
+func identify(snapshot configuration.Snapshot, fresh bool, secret string, matched configuration.Route, c *call) *attemptError {
+	if !fresh {
+		return refuse(refusal.ConfigurationStale, "")
+	}
+	if secret == "" {
+		return refuse(refusal.KeyMissing, "")
+	}
+	entry, known := snapshot.Keys.Find(secret)
+	switch {
+	case !known:
+		return refuse(refusal.KeyUnknown, "")
+	case entry.Withdrawn:
+		return refuse(refusal.KeyWithdrawn, "")
+	case !allows(matched, entry.Workspace):
+		return refuse(refusal.NoRoute, "the workspace has no such route")
+	}
+	c.workspace = entry.Workspace
+	if workspace, named := snapshot.Workspace(entry.Workspace); named {
+		c.share = workspace.Share
+	}
+	return nil
+}
+
+// allows reports whether a route is for workspace; one that names none is for all.
+func allows(matched configuration.Route, workspace string) bool {
+	return len(matched.Workspaces) == 0 || slices.Contains(matched.Workspaces, workspace)
+}
+
+func priorityLevel(snapshot configuration.Snapshot, name string) int {
+	named, _ := snapshot.Priority(name)
+	return named.Level
+}
+
+func newCall(r *http.Request, matched configuration.Route) *call {
+	return &call{
+		route:      matched.Name,
+		service:    matched.Service,
+		repeatable: matched.Repeatable,
+		deadline:   time.Now().Add(matched.Deadline),
+		allowance:  retry.NewAllowance(matched.ExtraAttempts),
+		head: requestHead{
+			method:        r.Method,
+			host:          r.Host,
+			path:          r.URL.EscapedPath(),
+			query:         r.URL.RawQuery,
+			header:        cloneForward(r.Header),
+			contentLength: r.ContentLength,
+			trailerNames:  trailerNames(r.Trailer),
+		},
+	}
+}
+
+const maxIdempotencyKeyBytes = 255
+
+func (c *call) takeIdempotencyKey(r *http.Request) *attemptError {
+	given := r.Header.Get(headerIdempotencyKey)
+	if given == "" {
+		return refuse(refusal.IdempotencyKeyMissing, "")
+	}
+	if len(given) > maxIdempotencyKeyBytes || len(r.Header.Values(headerIdempotencyKey)) != 1 {
+		return refuse(refusal.IdempotencyKeyInvalid, "")
+	}
+	c.idempotencyKey = given
+	return nil
+}
+
+// serveRequest reads the body, checks the request against its hashes, and answers it.
+func (d *Daemon) serveRequest(w http.ResponseWriter, r *http.Request, c *call, pay func(context.Context) *attemptError) {
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(c.deadline.Add(time.Second))
+	if refused := c.takeBody(r, controller); refused != nil {
+		d.refuseCaller(w, refused)
+		return
+	}
+	if d.quarantined(c) {
+		d.refuseCaller(w, refuse(refusal.Quarantined, ""))
+		return
+	}
+	if refused := pay(ctx); refused != nil {
+		d.refuseCaller(w, refused)
+		return
+	}
+	answer, refused := d.dispatch(ctx, c)
+	if refused != nil {
+		d.refuseCaller(w, refused)
+		return
+	}
+	d.sendAnswer(w, answer)
+}
+
+func (c *call) takeBody(r *http.Request, controller *http.ResponseController) *attemptError {
+	if r.ContentLength != 0 {
+		_ = controller.EnableFullDuplex()
+	}
+	body, err := readBody(r.ContentLength, r.Body, func() http.Header { return cloneForward(r.Trailer) })
+	if err != nil {
+		return refuse(refusal.MalformedRequest, "the body ended early")
+	}
+	c.body = body
+	c.requestHash = hashRequest(c)
+	c.fingerprint = quarantine.Of(
+		[]byte(c.workspace), []byte(c.head.method), []byte(c.head.path), []byte(c.head.query), body.kept,
+	)
+	return nil
+}
+
+// hashRequest returns the hash by which a resend is told from another request under the same key.
+func hashRequest(c *call) [32]byte {
+	hash := sha256.New()
+	for _, part := range []string{c.head.method, c.head.path, c.head.query} {
+		_, _ = io.WriteString(hash, part)
+		_, _ = hash.Write([]byte{0})
+	}
+	_, _ = hash.Write(c.body.kept)
+	var sum [32]byte
+	hash.Sum(sum[:0])
+	return sum
+}
+
+func (d *Daemon) quarantined(c *call) bool {
+	return d.quarantine.Verdict(time.Now(), c.fingerprint) == quarantine.Quarantined
+}
--- /dev/null
+++ b/internal/daemon/gate.go
@@ -0,0 +1,142 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"sapphirespread.example/priority"
+	"sapphirespread.example/refusal"
+)
+
+// A gate lets calls through to the backend server as its admission decides.
+type gate struct {
+	mu        sync.Mutex
+	admission *priority.Admission
+	waiting   map[uint64]chan priority.Verdict
+	timer     *time.Timer
+	closed    bool
+}
+
+func newGate(admission *priority.Admission) *gate {
+	g := &gate{admission: admission, waiting: make(map[uint64]chan priority.Verdict)}
+	g.timer = time.AfterFunc(time.Hour, g.tick)
+	return g
+}
+
+// enter waits until c is admitted or refused; an admitted call is ended with leave.
+func (g *gate) enter(ctx context.Context, c *call) *attemptError {
+	verdict := make(chan priority.Verdict, 1)
+	g.offer(c, verdict)
+	select {
+	case v := <-verdict:
+		return refusalOf(v)
+	case <-ctx.Done():
+	}
+	if g.cancel(c.id, verdict) {
+		g.leave(c.id, priority.Result{Failed: true})
+	}
+	if time.Now().Before(c.deadline) {
+		return refuse(refusal.Cancelled, "the caller left before the request ran")
+	}
+	return refuse(refusal.DeadlineUnreachable, "the deadline passed in the queue")
+}
+
+func refusalOf(verdict priority.Verdict) *attemptError {
+	if verdict.Admitted {
+		return nil
+	}
+	return refuse(verdict.Kind, "refused by the target's admission")
+}
+
+func (g *gate) offer(c *call, verdict chan priority.Verdict) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.waiting[c.id] = verdict
+	g.deliver(now, g.admission.Offer(now, priority.Request{
+		ID:        c.id,
+		WholeHash: c.wholeHash(),
+		Priority:  c.priority,
+		Workspace: c.workspace,
+		Share:     c.share,
+		Deadline:  c.deadline,
+	}))
+}
+
+// cancel withdraws a waiting call and reports whether it had been admitted meanwhile.
+func (g *gate) cancel(id uint64, verdict chan priority.Verdict) bool {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case v := <-verdict:
+		return v.Admitted
+	default:
+	}
+	delete(g.waiting, id)
+	g.deliver(now, g.admission.Cancel(now, id))
+	return false
+}
+
+// leave ends an admitted call.
+func (g *gate) leave(id uint64, result priority.Result) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.deliver(now, g.admission.Done(now, id, result))
+}
+
+// announce passes on what the backend server says of its slots.
+func (g *gate) announce(slots int) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.admission.Announce(now, slots)
+	g.deliver(now, g.admission.Tick(now))
+}
+
+func (g *gate) level(now time.Time) priority.Level {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admission.Level(now)
+}
+
+func (g *gate) stats(now time.Time) priority.Stats {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admission.Stats(now)
+}
+
+func (g *gate) tick() {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed {
+		return
+	}
+	g.deliver(now, g.admission.Tick(now))
+}
+
+func (g *gate) close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = true
+	g.timer.Stop()
+}
+
+// deliver hands verdicts to the waiting calls and sets the timer for the next tick; g.mu is held.
+func (g *gate) deliver(now time.Time, verdicts []priority.Verdict) {
+	for _, verdict := range verdicts {
+		waiter, known := g.waiting[verdict.ID]
+		if !known {
+			continue
+		}
+		delete(g.waiting, verdict.ID)
+		waiter <- verdict
+	}
+	next := g.admission.NextTick(now)
+	if !next.IsZero() && !g.closed {
+		g.timer.Reset(next.Sub(now))
+	}
+}
--- /dev/null
+++ b/internal/daemon/link.go
@@ -0,0 +1,160 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"sapphirespread.example/internal/peer/peerpb"
+)
+
+const (
+	kindControl      = "control"
+	heartbeatPeriod  = 300 * time.Millisecond
+	askPeriod        = 20 * time.Millisecond
+	idlePeriod       = 200 * time.Millisecond
+	confirmTimeout   = 1200 * time.Millisecond
+	reconnectPause   = 50 * time.Millisecond
+	reconnectSpread  = 150 * time.Millisecond
+	maxQueuedReports = 4096
+)
+
+// A link keeps the daemon attached to one control instance, and moves to another where that one
+// cannot confirm.
+type link struct {
+	daemon  *Daemon
+	out     chan *peerpb.DaemonMessage
+	kicked  chan struct{}
+	nextID  atomic.Uint64
+	dirty   atomic.Bool
+	answers pendingAnswers
+	wanted  wantedServices
+	mu      sync.Mutex
+	leader  string
+	since   time.Time
+}
+
+func newLink(d *Daemon) *link {
+	return &link{
+		daemon:  d,
+		out:     make(chan *peerpb.DaemonMessage, maxQueuedReports),
+		kicked:  make(chan struct{}, 1),
+		answers: newPendingAnswers(),
+		wanted:  newWantedServices(),
+	}
+}
+
+// kick makes the link send what is new at once.
+func (l *link) kick() {
+	select {
+	case l.kicked <- struct{}{}:
+	default:
+	}
+}
+
+// kickHeartbeat makes the link send a heartbeat at once, with what it says of this daemon.
+func (l *link) kickHeartbeat() {
+	l.dirty.Store(true)
+	l.kick()
+}
+
+// changed reports whether a heartbeat is due at once.
+func (l *link) changed() bool {
+	return l.dirty.Swap(false)
+}
+
+// run keeps the link up until ctx ends.
+func (l *link) run(ctx context.Context) {
+	addresses := l.daemon.settings.Control
+	next := rand.IntN(len(addresses))
+	var hint netip.AddrPort
+	for ctx.Err() == nil {
+		address := hint
+		if !address.IsValid() {
+			address = addresses[next%len(addresses)]
+			next++
+		}
+		hint = l.attach(ctx, address)
+		if !hint.IsValid() {
+			sleep(ctx, reconnectPause+rand.N(reconnectSpread))
+		}
+	}
+}
+
+// attach serves one session with the control instance at address, and returns where to go next.
+func (l *link) attach(ctx context.Context, address netip.AddrPort) netip.AddrPort {
+	opening, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	stream, err := l.daemon.pool.Open(opening, address, kindControl)
+	if err != nil {
+		l.daemon.logger.Debug().Err(err).Stringer("address", address).Msg("link: control instance not reached")
+		return netip.AddrPort{}
+	}
+	session := newLinkSession(l, stream)
+	next, err := session.run(ctx)
+	l.detached()
+	if ctx.Err() == nil {
+		l.daemon.logger.Info().Err(err).Stringer("address", address).Msg("link: detached from control")
+	}
+	return next
+}
+
+func (l *link) attached(leader string) {
+	l.mu.Lock()
+	l.leader = leader
+	l.since = time.Now()
+	l.mu.Unlock()
+	l.daemon.record("control", "attached to leader "+leader)
+	l.daemon.logger.Info().Str("leader", leader).Msg("link: attached to control")
+}
+
+func (l *link) detached() {
+	l.mu.Lock()
+	known := l.leader != ""
+	l.leader = ""
+	l.mu.Unlock()
+	l.answers.failAll()
+	l.daemon.holder.Disconnect()
+	if known {
+		l.daemon.record("control", "detached from control")
+	}
+}
+
+// attachedTo returns the leader that the link is attached to, or nothing.
+func (l *link) attachedTo() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.leader
+}
+
+// enqueue queues message for the next session where none is up, and reports whether there was room.
+func (l *link) enqueue(message *peerpb.DaemonMessage) bool {
+	select {
+	case l.out <- message:
+		return true
+	default:
+		l.daemon.counters.dropped.Add(1)
+		return false
+	}
+}
+
+// need waits until the targets of service are known, or the bound has passed.
+func (l *link) need(ctx context.Context, service string) {
+	known := l.wanted.want(service)
+	select {
+	case <-known:
+		return
+	default:
+	}
+	l.kickHeartbeat()
+	timer := time.NewTimer(membershipWaitBound)
+	defer timer.Stop()
+	select {
+	case <-known:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/daemon/linkanswers.go
@@ -0,0 +1,172 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"sapphirespread.example/claim"
+	"sapphirespread.example/internal/peer/peerpb"
+	"sapphirespread.example/quarantine"
+)
+
+var errNoControl = errors.New("no control instance answers")
+
+// A pendingAnswers holds the requests to control whose answers are awaited.
+type pendingAnswers struct {
+	mu      sync.Mutex
+	waiters map[uint64]chan *peerpb.ControlMessage
+}
+
+func newPendingAnswers() pendingAnswers {
+	return pendingAnswers{waiters: make(map[uint64]chan *peerpb.ControlMessage)}
+}
+
+func (p *pendingAnswers) expect(id uint64) chan *peerpb.ControlMessage {
+	waiter := make(chan *peerpb.ControlMessage, 1)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.waiters[id] = waiter
+	return waiter
+}
+
+func (p *pendingAnswers) forget(id uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.waiters, id)
+}
+
+func (p *pendingAnswers) deliver(id uint64, message *peerpb.ControlMessage) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	waiter := p.waiters[id]
+	if waiter != nil {
+		delete(p.waiters, id)
+		waiter <- message
+	}
+}
+
+// failAll ends all waits, as the session that would carry the answers is lost.
+func (p *pendingAnswers) failAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, waiter := range p.waiters {
+		delete(p.waiters, id)
+		waiter <- nil
+	}
+}
+
+// exchange sends message and waits for the answer that carries id.
+func (l *link) exchange(ctx context.Context, id uint64, message *peerpb.DaemonMessage) (*peerpb.ControlMessage, error) {
+	waiter := l.answers.expect(id)
+	defer l.answers.forget(id)
+	if !l.enqueue(message) {
+		return nil, errNoControl
+	}
+	select {
+	case answer := <-waiter:
+		if answer == nil {
+			return nil, errNoControl
+		}
+		return answer, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// claim asks the control quorum for the right to run a request.
+func (l *link) claim(ctx context.Context, key claim.Key, attempt string, hash [32]byte) (claim.State, *claim.Outcome, error) {
+	if l.attachedTo() == "" {
+		return "", nil, errNoControl
+	}
+	id := l.nextID.Add(1)
+	request := &peerpb.ClaimRequest{Id: id, Key: encodeClaimKey(key), Attempt: attempt, RequestHash: hash[:]}
+	answer, err := l.exchange(ctx, id, &peerpb.DaemonMessage{Body: &peerpb.DaemonMessage_Claim{Claim: request}})
+	if err != nil {
+		return "", nil, err
+	}
+	return claim.State(answer.GetClaim().GetState()), decodeOutcome(answer.GetClaim().GetOutcome()), nil
+}
+
+func encodeClaimKey(key claim.Key) *peerpb.ClaimKey {
+	return &peerpb.ClaimKey{Workspace: key.Workspace, Route: key.Route, IdempotencyKey: key.IdempotencyKey}
+}
+
+func decodeOutcome(encoded *peerpb.ClaimOutcome) *claim.Outcome {
+	if encoded == nil {
+		return nil
+	}
+	outcome := &claim.Outcome{
+		Status:   int(encoded.GetStatus()),
+		Body:     encoded.GetBody(),
+		BodyKept: encoded.GetBodyKept(),
+	}
+	for _, line := range encoded.GetHeaders() {
+		outcome.Headers = append(outcome.Headers, claim.Header{Name: line.GetName(), Values: line.GetValues()})
+	}
+	return outcome
+}
+
+func encodeOutcome(outcome claim.Outcome) *peerpb.ClaimOutcome {
+	encoded := &peerpb.ClaimOutcome{
+		Status:   int32(outcome.Status),
+		Body:     outcome.Body,
+		BodyKept: outcome.BodyKept,
+	}
+	for _, line := range outcome.Headers {
+		encoded.Headers = append(encoded.Headers, &peerpb.Header{Name: line.Name, Values: line.Values})
+	}
+	return encoded
+}
+
+// finishClaim stores the outcome of a claimed run.
+func (l *link) finishClaim(key claim.Key, attempt string, outcome claim.Outcome) {
+	finish := &peerpb.ClaimFinish{Key: encodeClaimKey(key), Attempt: attempt, Outcome: encodeOutcome(outcome)}
+	l.enqueue(&peerpb.DaemonMessage{Body: &peerpb.DaemonMessage_ClaimFinish{ClaimFinish: finish}})
+}
+
+// releaseClaim gives a claim back whose request did not run and will not.
+func (l *link) releaseClaim(key claim.Key, attempt string) {
+	release := &peerpb.ClaimRelease{Key: encodeClaimKey(key), Attempt: attempt}
+	l.enqueue(&peerpb.DaemonMessage{Body: &peerpb.DaemonMessage_ClaimRelease{ClaimRelease: release}})
+}
+
+// reportSuspects returns once the suspects of a crash have been sent to all daemons, or ctx ends.
+func (l *link) reportSuspects(ctx context.Context, crash, target string, suspects []quarantine.Fingerprint) {
+	id := l.nextID.Add(1)
+	report := &peerpb.Suspects{Id: id, Crash: crash, Target: target}
+	for _, fingerprint := range suspects {
+		report.Fingerprints = append(report.Fingerprints, fingerprint[:])
+	}
+	message := &peerpb.DaemonMessage{Body: &peerpb.DaemonMessage_Suspects{Suspects: report}}
+	if _, err := l.exchange(ctx, id, message); err != nil {
+		l.daemon.logger.Warn().Err(err).Str("target", target).Msg("link: suspects not spread in time")
+	}
+}
+
+// reportRan reports that a suspect ran to its end at target.
+func (l *link) reportRan(fingerprint quarantine.Fingerprint, target string) {
+	ran := &peerpb.CrashRun{Fingerprint: fingerprint[:], Target: target}
+	l.enqueue(&peerpb.DaemonMessage{Body: &peerpb.DaemonMessage_CrashRun{CrashRun: ran}})
+}
+
+// askTrial asks to run a suspect at target, where it then runs nowhere else.
+func (l *link) askTrial(ctx context.Context, fingerprint quarantine.Fingerprint, target string) bool {
+	if l.attachedTo() == "" {
+		return false
+	}
+	id := l.nextID.Add(1)
+	request := &peerpb.TrialRequest{Id: id, Fingerprint: fingerprint[:], Target: target}
+	answer, err := l.exchange(ctx, id, &peerpb.DaemonMessage{Body: &peerpb.DaemonMessage_Trial{Trial: request}})
+	if err != nil {
+		l.endTrial(fingerprint, target)
+		return false
+	}
+	return answer.GetTrial().GetGranted()
+}
+
+// endTrial reports that a trial ended without a result.
+func (l *link) endTrial(fingerprint quarantine.Fingerprint, target string) {
+	end := &peerpb.TrialEnd{Fingerprint: fingerprint[:], Target: target}
+	l.enqueue(&peerpb.DaemonMessage{Body: &peerpb.DaemonMessage_TrialEnd{TrialEnd: end}})
+}
--- /dev/null
+++ b/internal/daemon/linkgrants.go
@@ -0,0 +1,68 @@
+package daemon
+
+import (
+	"time"
+
+	"sapphirespread.example/internal/peer/peerpb"
+	"sapphirespread.example/limit"
+)
+
+// ask asks for the tokens that demand calls for.
+func (s *linkSession) ask() error {
+	wanted := s.link.daemon.holder.Asks(time.Now())
+	if len(wanted) == 0 {
+		return nil
+	}
+	asks := &peerpb.Asks{Asks: make([]*peerpb.Ask, 0, len(wanted))}
+	for _, ask := range wanted {
+		asks.Asks = append(asks.Asks, &peerpb.Ask{
+			Id:        ask.ID,
+			Workspace: ask.Workspace,
+			Tokens:    ask.Tokens,
+			Waiting:   ask.Waiting,
+		})
+	}
+	return s.stream.Send(&peerpb.DaemonMessage{Body: &peerpb.DaemonMessage_Asks{Asks: asks}})
+}
+
+func (s *linkSession) returnIdle() error {
+	return s.sendReturns(s.link.daemon.holder.Idle(time.Now()))
+}
+
+func (s *linkSession) sendReturns(unspent []limit.Return) error {
+	if len(unspent) == 0 {
+		return nil
+	}
+	returns := &peerpb.Returns{Returns: make([]*peerpb.Return, 0, len(unspent))}
+	for _, part := range unspent {
+		returns.Returns = append(returns.Returns, &peerpb.Return{
+			GrantId:   part.GrantID,
+			Workspace: part.Workspace,
+			Tokens:    part.Tokens,
+		})
+	}
+	return s.stream.Send(&peerpb.DaemonMessage{Body: &peerpb.DaemonMessage_Returns{Returns: returns}})
+}
+
+// acceptGrants hands grants to the calls that wait for them.
+func (s *linkSession) acceptGrants(grants []*peerpb.Grant) {
+	d := s.link.daemon
+	for _, granted := range grants {
+		now := time.Now()
+		grant := limit.Grant{
+			ID:         granted.GetId(),
+			Workspace:  granted.GetWorkspace(),
+			Tokens:     granted.GetTokens(),
+			Duration:   time.Duration(granted.GetDurationUs()) * time.Microsecond,
+			RetryAfter: time.Duration(granted.GetRetryAfterUs()) * time.Microsecond,
+		}
+		freed := d.holder.Accept(now, grant)
+		if freed {
+			d.tokenWait.serve(now, grant.Workspace)
+			continue
+		}
+		if grant.RetryAfter > maxTokenWait {
+			d.tokenWait.refuseAll(grant.Workspace)
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/linkreceive.go
@@ -0,0 +1,148 @@
+package daemon
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"sapphirespread.example/configuration"
+	"sapphirespread.example/internal/peer/peerpb"
+	"sapphirespread.example/quarantine"
+	"sapphirespread.example/target"
+	"sapphirespread.example/timeline"
+)
+
+// receiveAll takes what control sends until the stream ends.
+func (s *linkSession) receiveAll() error {
+	for {
+		message := &peerpb.ControlMessage{}
+		if err := s.stream.Receive(message); err != nil {
+			return err
+		}
+		if err := s.receive(message); err != nil {
+			return err
+		}
+	}
+}
+
+func (s *linkSession) receive(message *peerpb.ControlMessage) error {
+	switch body := message.GetBody().(type) {
+	case *peerpb.ControlMessage_Confirm:
+		s.confirm(body.Confirm)
+	case *peerpb.ControlMessage_Configuration:
+		return s.configure(body.Configuration)
+	case *peerpb.ControlMessage_Membership:
+		return s.applyMembership(body.Membership)
+	case *peerpb.ControlMessage_Grants:
+		s.acceptGrants(body.Grants.GetGrants())
+	case *peerpb.ControlMessage_Claim:
+		s.link.answers.deliver(body.Claim.GetId(), message)
+	case *peerpb.ControlMessage_SuspectsSpread:
+		s.link.answers.deliver(body.SuspectsSpread.GetId(), message)
+	case *peerpb.ControlMessage_Trial:
+		s.link.answers.deliver(body.Trial.GetId(), message)
+	case *peerpb.ControlMessage_Quarantine:
+		s.applyQuarantine(body.Quarantine)
+	case *peerpb.ControlMessage_Redirect:
+		return fmt.Errorf("%w: %s", errRedirected, body.Redirect.GetReason())
+	}
+	return nil
+}
+
+// confirm renews the freshness lease, which starts when the heartbeat was sent.
+func (s *linkSession) confirm(confirmed *peerpb.Confirm) {
+	now := time.Now()
+	s.mu.Lock()
+	heartbeat, known := s.sent[confirmed.GetSequence()]
+	delete(s.sent, confirmed.GetSequence())
+	if known {
+		s.confirmed = now
+	}
+	s.mu.Unlock()
+	if !known {
+		return
+	}
+	d := s.link.daemon
+	d.clock.Observe(now, decodeStamp(confirmed.GetStamp()))
+	d.view.Confirm(heartbeat.at, confirmed.GetRevision())
+	s.link.wanted.setKnown(heartbeat.services)
+}
+
+func (s *linkSession) configure(delta *peerpb.ConfigurationDelta) error {
+	d := s.link.daemon
+	changes := make([]configuration.Change, 0, len(delta.GetChanges()))
+	for _, change := range delta.GetChanges() {
+		changes = append(changes, configuration.Change{
+			Kind:    configuration.Kind(change.GetKind()),
+			Name:    change.GetName(),
+			Body:    change.GetBody(),
+			Removed: change.GetRemoved(),
+		})
+	}
+	if err := d.view.Apply(delta.GetFrom(), delta.GetTo(), delta.GetWhole(), changes); err != nil {
+		return fmt.Errorf("applying revision %d: %w", delta.GetTo(), err)
+	}
+	d.budgets.reconfigure(d.snapshot())
+	d.record("configuration", fmt.Sprintf("revision %d in force", delta.GetTo()))
+	return nil
+}
+
+func (s *linkSession) applyMembership(delta *peerpb.MembershipDelta) error {
+	changes := make([]target.Change, 0, len(delta.GetChanges()))
+	for _, change := range delta.GetChanges() {
+		changed, err := decodeTarget(change.GetTarget())
+		if err != nil {
+			return err
+		}
+		changes = append(changes, target.Change{Target: changed, Removed: change.GetRemoved()})
+	}
+	d := s.link.daemon
+	return d.table.Apply(delta.GetEpoch(), delta.GetFrom(), delta.GetTo(), delta.GetWhole(), changes)
+}
+
+func decodeTarget(encoded *peerpb.Announce) (target.Target, error) {
+	address, err := netip.ParseAddrPort(encoded.GetPeerAddress())
+	if err != nil {
+		return target.Target{}, fmt.Errorf("decoding target %s: %w", encoded.GetTarget(), err)
+	}
+	return target.Target{
+		Name:          encoded.GetTarget(),
+		Service:       encoded.GetService(),
+		FailureDomain: encoded.GetFailureDomain(),
+		Daemon:        encoded.GetDaemon(),
+		Peer:          address,
+		Incarnation:   encoded.GetIncarnation(),
+		Slots:         int(encoded.GetSlots()),
+		InFlight:      int(encoded.GetInFlight()),
+		Connections:   int(encoded.GetConnections()),
+		State:         target.State(encoded.GetState()),
+	}, nil
+}
+
+func (s *linkSession) applyQuarantine(delta *peerpb.QuarantineDelta) {
+	now := time.Now()
+	entries := make([]quarantine.Entry, 0, len(delta.GetEntries()))
+	for _, encoded := range delta.GetEntries() {
+		entries = append(entries, quarantine.Entry{
+			Fingerprint: decodeFingerprint(encoded.GetFingerprint()),
+			State:       quarantine.State(encoded.GetState()),
+			Until:       now.Add(time.Duration(encoded.GetRemainingUs()) * time.Microsecond),
+		})
+	}
+	cleared := make([]quarantine.Fingerprint, 0, len(delta.GetCleared()))
+	for _, encoded := range delta.GetCleared() {
+		cleared = append(cleared, decodeFingerprint(encoded))
+	}
+	s.link.daemon.quarantine.Apply(delta.GetVersion(), delta.GetWhole(), entries, cleared)
+}
+
+func encodeStamp(stamp timeline.Stamp) *peerpb.Stamp {
+	return &peerpb.Stamp{WallNs: stamp.Wall.UnixNano(), Logical: stamp.Logical}
+}
+
+func decodeStamp(encoded *peerpb.Stamp) timeline.Stamp {
+	if encoded == nil {
+		return timeline.Stamp{}
+	}
+	return timeline.Stamp{Wall: time.Unix(0, encoded.GetWallNs()), Logical: encoded.GetLogical()}
+}
--- /dev/null
+++ b/internal/daemon/local.go
@@ -0,0 +1,290 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"sapphirespread.example/priority"
+	"sapphirespread.example/refusal"
+)
+
+const httpScheme = "http"
+
+// runLocal runs c at the backend server beside this daemon; done is called once, when the call ends.
+func (d *Daemon) runLocal(ctx context.Context, c *call, targetName string, incarnation uint64, done func(callReport)) (*answer, *attemptError) {
+	run := &localRun{daemon: d, call: c, done: done}
+	said, current, present := d.backend.at(time.Now())
+	if !present || said.Name != targetName || current != incarnation {
+		return nil, run.refuse(refuse(refusal.TargetUnreachable, "the target's backend server has left"))
+	}
+	if refused := d.checkBeforeRun(c); refused != nil {
+		return nil, run.refuse(refused)
+	}
+	if refused := d.gate.enter(ctx, c); refused != nil {
+		return nil, run.refuse(refused)
+	}
+	run.admittedAt = time.Now()
+	run.said, run.incarnation = said, incarnation
+	return run.start(ctx)
+}
+
+// checkBeforeRun refuses what must not reach the backend server.
+func (d *Daemon) checkBeforeRun(c *call) *attemptError {
+	if d.refusing.Load() {
+		return refuse(refusal.Draining, "the instance is stopping")
+	}
+	if d.quarantined(c) {
+		return refuse(refusal.Quarantined, "")
+	}
+	return nil
+}
+
+// A localRun is one admitted call at the backend server beside this daemon.
+type localRun struct {
+	daemon      *Daemon
+	call        *call
+	said        announcement
+	incarnation uint64
+	admittedAt  time.Time
+	done        func(callReport)
+	claim       *heldClaim
+	token       string
+	watched     *watchedRun
+	ended       atomic.Bool
+	cancel      context.CancelFunc
+}
+
+// refuse ends a run that was not admitted.
+func (r *localRun) refuse(refused *attemptError) *attemptError {
+	r.done(r.daemon.reportOf(r.call, 0, ""))
+	return refused
+}
+
+// start claims the run where it may not be repeated, and sends the request.
+func (r *localRun) start(ctx context.Context) (*answer, *attemptError) {
+	if !r.call.repeatable {
+		claim, replay, refused := r.daemon.claim(ctx, r.call)
+		if replay != nil || refused != nil {
+			r.finish(true, "")
+			return replay, refused
+		}
+		r.claim = claim
+	}
+	if !time.Now().Before(r.call.deadline) || ctx.Err() != nil {
+		r.releaseClaim()
+		r.finish(true, "")
+		return nil, refuse(refusal.DeadlineUnreachable, "the deadline passed before the request ran")
+	}
+	return r.send(ctx)
+}
+
+func (r *localRun) releaseClaim() {
+	if r.claim != nil {
+		r.claim.release()
+		r.claim = nil
+	}
+}
+
+func (r *localRun) send(ctx context.Context) (*answer, *attemptError) {
+	ctx, r.cancel = context.WithCancel(ctx)
+	r.call.running = ctx
+	r.token = r.daemon.tokens.issue(r.call)
+	watched, refused := r.daemon.watchRun(ctx, r.call, r.said.Name)
+	if refused != nil {
+		r.releaseClaim()
+		r.finish(true, "")
+		return nil, refused
+	}
+	r.watched = watched
+	var connected atomic.Bool
+	request, err := r.request(ctx, &connected)
+	if err != nil {
+		r.releaseClaim()
+		r.finish(true, "")
+		return nil, refuse(refusal.MalformedRequest, err.Error())
+	}
+	response, err := r.daemon.backend.transport.RoundTrip(request)
+	if err != nil {
+		return nil, r.failed(ctx, err, connected.Load())
+	}
+	return r.answer(response), nil
+}
+
+func (r *localRun) request(ctx context.Context, connected *atomic.Bool) (*http.Request, error) {
+	c := r.call
+	body, err := c.body.open()
+	if err != nil {
+		return nil, err
+	}
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	ctx = httptrace.WithClientTrace(ctx, trace)
+	request := &http.Request{
+		Method:        c.head.method,
+		URL:           c.head.url(httpScheme, r.said.Address.String()),
+		Host:          c.head.host,
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+		Header:        c.head.header.Clone(),
+		ContentLength: c.head.contentLength,
+	}
+	// The transport repeats by itself only a request whose body it can open again.
+	request.Body = io.NopCloser(onceReader{body})
+	setTrailers(request, c)
+	r.setHeaders(request.Header)
+	return request.WithContext(ctx), nil
+}
+
+// onceReader hides all but Read, so that the transport cannot tell an empty body from another.
+type onceReader struct {
+	io.Reader
+}
+
+func setTrailers(request *http.Request, c *call) {
+	if len(c.head.trailerNames) == 0 {
+		return
+	}
+	request.Trailer = make(http.Header, len(c.head.trailerNames))
+	for _, name := range c.head.trailerNames {
+		request.Trailer[name] = nil
+	}
+	request.ContentLength = -1
+	request.Body = io.NopCloser(&trailerReader{reader: request.Body, call: c, trailer: request.Trailer})
+}
+
+// A trailerReader fills in the trailers when the body has been read.
+type trailerReader struct {
+	reader  io.Reader
+	call    *call
+	trailer http.Header
+}
+
+func (t *trailerReader) Read(buffer []byte) (int, error) {
+	n, err := t.reader.Read(buffer)
+	if errors.Is(err, io.EOF) {
+		received := t.call.body.trailer()
+		for name := range t.trailer {
+			t.trailer[name] = received[name]
+		}
+	}
+	return n, err
+}
+
+func (r *localRun) setHeaders(header http.Header) {
+	c := r.call
+	header[headerCallToken] = []string{r.token}
+	header[headerRequestID] = []string{c.wholeID}
+	header[headerPriority] = []string{strconv.Itoa(c.priority)}
+	remaining := max(c.remaining(time.Now()).Milliseconds(), 0)
+	header[headerDeadline] = []string{strconv.FormatInt(remaining, 10)}
+	if c.workspace != "" {
+		header[headerWorkspace] = []string{c.workspace}
+	}
+	if c.idempotencyKey != "" {
+		header[headerIdempotencyKey] = []string{c.idempotencyKey}
+	}
+	if _, given := header["User-Agent"]; !given {
+		header["User-Agent"] = []string{""}
+	}
+}
+
+// failed ends a run whose request got no answer.
+func (r *localRun) failed(ctx context.Context, err error, connected bool) *attemptError {
+	if !connected {
+		r.releaseClaim()
+		return r.failedBeforeRun(ctx, err)
+	}
+	r.finishClaimUnknown()
+	kind := r.failureKind(ctx)
+	crashed := ""
+	if kind == refusal.TargetFailed && probeCrash(ctx, r.said.Address) {
+		crashed = r.said.Name
+		kind = refusal.TargetCrashed
+		r.daemon.handleCrash(r.said.Name, r.incarnation)
+	}
+	r.finish(kind == refusal.Cancelled, crashed)
+	refused := refuse(kind, err.Error())
+	refused.crashed = crashed
+	return refused
+}
+
+func (r *localRun) failedBeforeRun(ctx context.Context, err error) *attemptError {
+	var dialError *net.OpError
+	if ctx.Err() == nil && errors.As(err, &dialError) && dialError.Op == "dial" {
+		r.daemon.backend.crashed(r.incarnation)
+	}
+	r.finish(true, "")
+	if ctx.Err() != nil {
+		return refuse(refusal.DeadlineUnreachable, "the deadline passed before the request ran")
+	}
+	return refuse(refusal.TargetUnreachable, err.Error())
+}
+
+func (r *localRun) failureKind(ctx context.Context) refusal.Kind {
+	switch {
+	case !time.Now().Before(r.call.deadline):
+		return refusal.DeadlineExceeded
+	case ctx.Err() != nil:
+		return refusal.Cancelled
+	default:
+		return refusal.TargetFailed
+	}
+}
+
+func (r *localRun) answer(response *http.Response) *answer {
+	header := cloneForward(response.Header)
+	body := &localBody{run: r, response: response, header: header}
+	return &answer{
+		status:        response.StatusCode,
+		header:        header,
+		contentLength: response.ContentLength,
+		trailerNames:  trailerNames(response.Trailer),
+		body:          body,
+	}
+}
+
+func (r *localRun) finishClaimUnknown() {
+	if r.claim != nil {
+		r.claim.finishUnknown()
+		r.claim = nil
+	}
+}
+
+// finish ends the run: it frees the slot, and tells the sender what was left of the allowance.
+// An early end says nothing about the backend server.
+func (r *localRun) finish(early bool, crashed string) {
+	if r.ended.Swap(true) {
+		return
+	}
+	r.call.ended.Store(true)
+	if r.cancel != nil {
+		r.cancel()
+	}
+	if r.token != "" {
+		r.daemon.tokens.revoke(r.token)
+	}
+	if r.watched != nil {
+		r.watched.end(!early && crashed == "")
+	}
+	serviceTime := time.Since(r.admittedAt)
+	r.daemon.gate.leave(r.call.id, priority.Result{Latency: serviceTime, Failed: early || crashed != ""})
+	r.done(r.daemon.reportOf(r.call, serviceTime, crashed))
+}
+
+// reportOf describes this target at the end of c and takes what is left of its allowance.
+func (d *Daemon) reportOf(c *call, serviceTime time.Duration, crashed string) callReport {
+	return callReport{
+		unused:      c.allowance.Take(c.allowance.Left()),
+		level:       d.gate.level(time.Now()),
+		draining:    d.draining(),
+		serviceTime: serviceTime,
+		crashed:     crashed,
+	}
+}
--- /dev/null
+++ b/internal/daemon/subcall.go
@@ -0,0 +1,100 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	"sapphirespread.example/configuration"
+	"sapphirespread.example/refusal"
+	"sapphirespread.example/retry"
+)
+
+const maxDepth = 32
+
+// serveSubcall serves one request that the backend server makes on behalf of a running call.
+func (d *Daemon) serveSubcall(w http.ResponseWriter, r *http.Request) {
+	d.inFlight.add()
+	defer d.inFlight.done()
+	d.counters.subcalls.Add(1)
+	token := r.Header.Get(headerCallToken)
+	name := r.Header.Get(headerCallName)
+	takeKey(r.Header)
+	parent, known := d.tokens.find(token)
+	if !known || parent.ended.Load() {
+		d.refuseCaller(w, refuse(refusal.CallTokenInvalid, ""))
+		return
+	}
+	c, refused := d.enterSubcall(r, parent, name)
+	if refused != nil {
+		d.refuseCaller(w, refused)
+		return
+	}
+	defer func() { parent.allowance.Return(c.allowance.Take(c.allowance.Left())) }()
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	defer context.AfterFunc(parent.running, cancel)()
+	d.serveRequest(w, r.WithContext(ctx), c, func(context.Context) *attemptError { return nil })
+}
+
+// enterSubcall makes the call that continues parent's whole request.
+func (d *Daemon) enterSubcall(r *http.Request, parent *call, name string) (*call, *attemptError) {
+	snapshot, _ := d.view.Current(time.Now())
+	matched, refused := matchRoute(snapshot, r)
+	if refused != nil {
+		return nil, refused
+	}
+	if parent.depth+1 > maxDepth {
+		return nil, refuse(refusal.MalformedRequest, "the chain of calls is too deep")
+	}
+	if !matched.Open && !allows(matched, parent.workspace) {
+		return nil, refuse(refusal.NoRoute, "the workspace has no such route")
+	}
+	c := newCall(r, matched)
+	c.wholeID = parent.wholeID
+	c.workspace = parent.workspace
+	c.share = parent.share
+	c.priority = parent.priority
+	c.depth = parent.depth + 1
+	if parent.deadline.Before(c.deadline) {
+		c.deadline = parent.deadline
+	}
+	if !c.repeatable {
+		c.idempotencyKey = deriveKey(r, parent, matched, name)
+	}
+	c.allowance = retry.NewAllowance(parent.allowance.Take((parent.allowance.Left() + 1) / 2))
+	return c, nil
+}
+
+// deriveKey returns the idempotency key of a sub-call: the same for each run of the same parent.
+func deriveKey(r *http.Request, parent *call, matched configuration.Route, name string) string {
+	own := r.Header.Get(headerIdempotencyKey)
+	if name == "" {
+		name = r.Method + " " + r.URL.Path + "?" + r.URL.RawQuery
+	}
+	origin := parent.wholeID
+	if parent.idempotencyKey != "" {
+		origin = parent.idempotencyKey
+	}
+	seed := parent.workspace + "\x00" + parent.route + "\x00" + origin + "\x00" + matched.Name + "\x00" + name + "\x00" + own
+	return withTimeOf(origin, uuid.NewSHA1(uuid.NameSpaceOID, []byte(seed))).String()
+}
+
+// withTimeOf gives derived the time that origin carries, where origin is a UUID of version 7.
+func withTimeOf(origin string, derived uuid.UUID) uuid.UUID {
+	parsed, err := uuid.Parse(origin)
+	if err != nil || parsed.Version() != 7 {
+		return derived
+	}
+	const (
+		timeBytes   = 6
+		versionByte = 6
+		version7    = 0x70
+		lowNibble   = 0x0f
+	)
+	copy(derived[:timeBytes], parsed[:timeBytes])
+	derived[versionByte] = version7 | derived[versionByte]&lowNibble
+	return derived
+}
--- /dev/null
+++ b/internal/daemon/wantedservices.go
@@ -0,0 +1,59 @@
+package daemon
+
+import "sync"
+
+// A wantedServices holds the services that this daemon calls, and which of them are known.
+type wantedServices struct {
+	mu      sync.RWMutex
+	entries map[string]*wantedService
+}
+
+type wantedService struct {
+	known   chan struct{}
+	isKnown bool
+}
+
+func newWantedServices() wantedServices {
+	return wantedServices{entries: make(map[string]*wantedService)}
+}
+
+// want adds service and returns a channel that is closed once its targets are known.
+func (s *wantedServices) want(service string) <-chan struct{} {
+	s.mu.RLock()
+	entry := s.entries[service]
+	s.mu.RUnlock()
+	if entry != nil {
+		return entry.known
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if entry = s.entries[service]; entry == nil {
+		entry = &wantedService{known: make(chan struct{})}
+		s.entries[service] = entry
+	}
+	return entry.known
+}
+
+// names returns all services that are called.
+func (s *wantedServices) names() []string {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	names := make([]string, 0, len(s.entries))
+	for name := range s.entries {
+		names = append(names, name)
+	}
+	return names
+}
+
+// setKnown marks services whose targets have been sent.
+func (s *wantedServices) setKnown(services []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, service := range services {
+		entry := s.entries[service]
+		if entry != nil && !entry.isKnown {
+			entry.isKnown = true
+			close(entry.known)
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/lockedbuffer_test.go
@@ -0,0 +1,24 @@
+package peer_test
+
+import (
+	"bytes"
+	"sync"
+)
+
+// A lockedBuffer collects what several goroutines write.
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(content []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(content)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -63,6 +63,11 @@
 	return s.inner.SetReadDeadline(deadline)
 }
 
+// SetWriteDeadline bounds all later sends; the zero time removes the bound.
+func (s *Stream) SetWriteDeadline(deadline time.Time) error {
+	return s.inner.SetWriteDeadline(deadline)
+}
+
 // Close ends the stream in both directions.
 func (s *Stream) Close() error {
 	return s.inner.Close()
@@ -74,8 +79,8 @@
 	go copyOneWay(s, other, done)
 	go copyOneWay(other, s, done)
 	<-done
-	s.abort()
-	other.abort()
+	s.Abort()
+	other.Abort()
 	<-done
 }
 
@@ -84,8 +89,8 @@
 	done <- struct{}{}
 }
 
-// abort closes the stream and ends reads that are under way.
-func (s *Stream) abort() {
+// Abort closes the stream and ends sends and receives that are under way.
+func (s *Stream) Abort() {
 	_ = s.inner.Close()
 	_ = s.inner.SetDeadline(time.Unix(1, 0))
 }
--- /dev/null
+++ b/timeline/ring.go
@@ -0,0 +1,42 @@
+package timeline
+
+import (
+	"sync"
+	"time"
+)
+
+// A Ring keeps the latest events of one process, safe for concurrent use.
+type Ring struct {
+	clock   *Clock
+	process string
+	mu      sync.Mutex
+	events  []Event
+	next    int
+}
+
+// NewRing returns a ring that keeps up to size events of process.
+func NewRing(clock *Clock, process string, size int) *Ring {
+	return &Ring{clock: clock, process: process, events: make([]Event, 0, max(size, 1))}
+}
+
+// Record adds an event of part, in place of the oldest where the ring is full.
+func (r *Ring) Record(now time.Time, part, text string) {
+	event := Event{At: r.clock.Now(now), Process: r.process, Part: part, Text: text}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.events) < cap(r.events) {
+		r.events = append(r.events, event)
+		return
+	}
+	r.events[r.next] = event
+	r.next = (r.next + 1) % len(r.events)
+}
+
+// Events returns the events kept, oldest first.
+func (r *Ring) Events() []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	events := make([]Event, 0, len(r.events))
+	events = append(events, r.events[r.next:]...)
+	return append(events, r.events[:r.next]...)
+}
--- /dev/null
+++ b/timeline/write.go
@@ -0,0 +1,96 @@
+package timeline
+
+import (
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"html/template"
+	"io"
+	"slices"
+	"time"
+)
+
+const clockFormat = "15:04:05.000000"
+
+//go:embed page.html
+var pageSource string
+
+var page = template.Must(template.New("timeline").Parse(pageSource))
+
+// WriteText writes one line an event.
+func WriteText(w io.Writer, events []Event) error {
+	for _, event := range events {
+		_, err := fmt.Fprintf(w, "%s.%d %-24s %-14s %s\n",
+			event.At.Wall.UTC().Format(clockFormat), event.At.Logical, event.Process, event.Part, event.Text)
+		if err != nil {
+			return fmt.Errorf("writing the time line: %w", err)
+		}
+	}
+	return nil
+}
+
+// WriteJSON writes one event in JSON a line.
+func WriteJSON(w io.Writer, events []Event) error {
+	encoder := json.NewEncoder(w)
+	for _, event := range events {
+		if err := encoder.Encode(event); err != nil {
+			return fmt.Errorf("encoding the time line: %w", err)
+		}
+	}
+	return nil
+}
+
+// A pageData is what the page shows.
+type pageData struct {
+	From      string
+	Processes []string
+	Rows      []pageRow
+}
+
+// A pageRow is one event on the page.
+type pageRow struct {
+	Offset  string
+	Clock   string
+	Column  int
+	Process string
+	Part    string
+	Text    string
+}
+
+// WriteHTML writes one self-contained page with a column a process.
+func WriteHTML(w io.Writer, events []Event) error {
+	if err := page.Execute(w, pageOf(events)); err != nil {
+		return fmt.Errorf("writing the time line page: %w", err)
+	}
+	return nil
+}
+
+func pageOf(events []Event) pageData {
+	data := pageData{Processes: processesOf(events)}
+	if len(events) == 0 {
+		return data
+	}
+	start := events[0].At.Wall
+	data.From = start.UTC().Format(time.RFC3339Nano)
+	for _, event := range events {
+		column, _ := slices.BinarySearch(data.Processes, event.Process)
+		data.Rows = append(data.Rows, pageRow{
+			Offset:  fmt.Sprintf("%+.3f s", event.At.Wall.Sub(start).Seconds()),
+			Clock:   event.At.Wall.UTC().Format(clockFormat),
+			Column:  column,
+			Process: event.Process,
+			Part:    event.Part,
+			Text:    event.Text,
+		})
+	}
+	return data
+}
+
+func processesOf(events []Event) []string {
+	var names []string
+	for _, event := range events {
+		names = append(names, event.Process)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
