Add the commands of operators

Each command is a file; a slice lists them. Errors of actions exit 1, wrong use exits 2, and every help text ends in an example.

How an operator carries the revision that a folder was taken from: a number given by hand is forgotten, and one read at the time of publishing never conflicts, which hides a race between two operators. publish and show note it in the file .revision of the folder. The publication id is made of base, author, comment and content, so that a command run again after a lost answer is the same publication: seen in the script, one revision after two runs. A withdrawal of a key builds on the revision in force and follows a faster publish.

--- a/configuration/check.go
+++ b/configuration/check.go
@@ -2,16 +2,11 @@
 
 import (
 	"fmt"
-	"regexp"
 	"slices"
 	"strconv"
 	"strings"
 )
 
-const maxNameLength = 63
-
-var namePattern = regexp.MustCompile(`^[a-z0-9]+(-[a-z0-9]+)*$`)
-
 // Check returns Problems that name every broken reference, contradiction and value out of range, or nil.
 func (s Set) Check() error {
 	c := newChecker(s)
@@ -58,9 +53,8 @@
 func (c *checker) name(o Object) {
 	id := objectID{o.ObjectKind(), o.ObjectName()}
 	whole := id.kind.table() + "." + id.name
-	if !namePattern.MatchString(id.name) || len(id.name) > maxNameLength {
-		expected := fmt.Sprintf("a kebab-case name of at most %d letters, digits and hyphens", maxNameLength)
-		c.report(whole, strconv.Quote(id.name), expected)
+	if !ValidName(id.name) {
+		c.report(whole, strconv.Quote(id.name), expectedName)
 	}
 	if c.seen[id] {
 		c.report(whole, "a second definition", "one definition")
--- /dev/null
+++ b/internal/cmd/cmd_test.go
@@ -0,0 +1,139 @@
+package cmd_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"sapphirespread.example/configuration"
+	"sapphirespread.example/internal/cmd"
+	"sapphirespread.example/internal/operator"
+)
+
+// TestCommands replays scripts against one system in memory. "run" runs a command a line, "file" writes a file and
+// "cat" reads one in the folder that stands as $DIR; "lose" loses the answer to the next publish after it was
+// acted on, and "race" publishes a revision between the next read and the next publish.
+func TestCommands(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := newScript(t)
+		datadriven.RunTest(t, path, s.run)
+	})
+}
+
+type script struct {
+	folder string
+	api    *unsure
+}
+
+func newScript(t *testing.T) *script {
+	t.Setenv("SAPPHIRESPREAD_CONTROL", "127.0.0.1:7102,127.0.0.1:7202")
+	t.Setenv("SAPPHIRESPREAD_AUTHOR", "kari")
+	address := netip.MustParseAddrPort("10.0.0.1:7101")
+	memory := operator.NewMemory(
+		func() time.Time { return time.Date(2026, 5, 2, 8, 0, 0, 0, time.UTC) },
+		operator.WithTargets(operator.Target{Name: "courts-1", Service: "courts", FailureDomain: "east", Daemon: "oslo-1", Address: address, State: "ready", Slots: 80}),
+		operator.WithQuarantine(operator.QuarantineEntry{Fingerprint: strings.Repeat("0a", 16), State: "quarantined", Remaining: time.Minute, Crashes: []string{"one", "two"}}),
+		operator.WithMembers(operator.Member{Name: "control-1", Address: address, Role: operator.RoleLeader, Match: 9}),
+		operator.WithStatus(operator.Status{Process: "control-1", Cluster: "banevakt", Leader: "control-1", Term: 2, Applied: 9, Daemons: []operator.Daemon{{Name: "oslo-1", FailureDomain: "east", OperatorsAddress: address}}}),
+	)
+	return &script{folder: t.TempDir(), api: &unsure{API: operator.NewAPI(memory)}}
+}
+
+func (s *script) run(t *testing.T, d *datadriven.TestData) string {
+	var path string
+	d.MaybeScanArgs(t, "path", &path)
+	path = filepath.Join(s.folder, path)
+	switch d.Cmd {
+	case "file":
+		if err := errors.Join(os.MkdirAll(filepath.Dir(path), 0o700), os.WriteFile(path, []byte(d.Input), 0o600)); err != nil {
+			t.Fatal(err)
+		}
+		return ""
+	case "cat":
+		text, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(text)
+	case "lose":
+		s.api.lose = true
+		return ""
+	case "race":
+		s.api.race = true
+		return ""
+	case "run":
+		var b strings.Builder
+		for line := range strings.Lines(d.Input) {
+			b.WriteString(s.command(t, line))
+		}
+		return b.String()
+	}
+	t.Fatalf("unknown command %s", d.Cmd)
+	return ""
+}
+
+func (s *script) command(t *testing.T, line string) string {
+	var stdout, stderr bytes.Buffer
+	app := cmd.New(&stdout, &stderr,
+		cmd.WithAPI(func([]netip.AddrPort) operator.API { return s.api }),
+		cmd.WithRandom(bytes.NewReader(bytes.Repeat([]byte{1}, 64))),
+	)
+	status := app.Run(t.Context(), strings.Fields(strings.ReplaceAll(line, "$DIR", s.folder)))
+	text := fmt.Sprintf("%s%sstatus %d\n", &stdout, &stderr, status)
+	return strings.ReplaceAll(text, s.folder, "$DIR")
+}
+
+// unsure loses answers and publishes in between as it is told.
+type unsure struct {
+	operator.API
+	lose, race bool
+}
+
+func (u *unsure) Current(ctx context.Context) (operator.Revision, error) {
+	current, err := u.API.Current(ctx)
+	if u.race {
+		u.race = false
+		u.API.Publish(ctx, configuration.Publish{ID: "race", Base: current.Number, Author: "ola", Set: current.Set})
+	}
+	return current, err
+}
+
+func (u *unsure) Publish(ctx context.Context, p configuration.Publish) (configuration.Published, error) {
+	published, err := u.API.Publish(ctx, p)
+	if u.lose {
+		u.lose = false
+		return configuration.Published{}, errors.New("no answer in time")
+	}
+	return published, err
+}
+
+// TestEveryCommandHasAnExample keeps help useful to newcomers.
+func TestEveryCommandHasAnExample(t *testing.T) {
+	for _, line := range []string{
+		"check", "publish", "show", "diff", "history", "rollback", "key create", "key withdraw", "targets",
+		"quarantine list", "quarantine release", "members list", "members add", "members promote", "members remove", "status",
+	} {
+		var stdout, stderr bytes.Buffer
+		status := cmd.Main(t.Context(), append(strings.Fields(line), "--help"), &stdout, &stderr)
+		if status != 0 || !strings.Contains(stdout.String(), "sapphirespread "+line+" ") {
+			t.Errorf("%s: status %d, help without an example:\n%s%s", line, status, &stdout, &stderr)
+		}
+	}
+}
+
+func TestNoControlInstanceIsWrongUse(t *testing.T) {
+	t.Setenv("SAPPHIRESPREAD_CONTROL", "")
+	var stdout, stderr bytes.Buffer
+	if status := cmd.Main(t.Context(), []string{"status"}, &stdout, &stderr); status != 2 {
+		t.Errorf("status %d: %s", status, &stderr)
+	}
+}
--- /dev/null
+++ b/internal/cmd/doc.go
@@ -0,0 +1,2 @@
+// Package cmd holds the commands of sapphirespread, one file each.
+package cmd
--- /dev/null
+++ b/internal/cmd/failed.go
@@ -0,0 +1,34 @@
+package cmd
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+)
+
+// failedError marks an error of a command that was used rightly; a nil cause was told already.
+type failedError struct{ cause error }
+
+func (e *failedError) Error() string {
+	if e.cause == nil {
+		return "failed"
+	}
+	return e.cause.Error()
+}
+
+func (e *failedError) Unwrap() error { return e.cause }
+
+// usageError marks an error of a command that was used wrongly.
+type usageError struct{ error }
+
+// action returns the action of a command whose errors, but for usageError, are failures.
+func action(run func(context.Context, *cli.Command) error) cli.ActionFunc {
+	return func(ctx context.Context, c *cli.Command) error {
+		err := run(ctx, c)
+		switch err.(type) {
+		case nil, usageError, *failedError:
+			return err
+		}
+		return &failedError{err}
+	}
+}
--- /dev/null
+++ b/internal/cmd/flag.go
@@ -0,0 +1,96 @@
+package cmd
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+
+	"github.com/urfave/cli/v3"
+
+	"sapphirespread.example/internal/operator"
+)
+
+const (
+	controlVariable = "SAPPHIRESPREAD_CONTROL"
+	authorVariable  = "SAPPHIRESPREAD_AUTHOR"
+)
+
+const (
+	outputText = "text"
+	outputJSON = "json"
+)
+
+func outputFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name:  "output",
+		Usage: "write `FORMAT` text or json",
+		Value: outputText,
+		Validator: func(format string) error {
+			if !slices.Contains([]string{outputText, outputJSON}, format) {
+				return fmt.Errorf("unknown format %q, expected text or json", format)
+			}
+			return nil
+		},
+	}
+}
+
+func controlFlag() cli.Flag {
+	return &cli.StringSliceFlag{
+		Name:    "control",
+		Usage:   "operators `ADDRESSES` of control instances, tried in turn",
+		Sources: cli.EnvVars(controlVariable),
+	}
+}
+
+func authorFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name:    "author",
+		Usage:   "`NAME` that history shows",
+		Sources: cli.EnvVars(authorVariable, "USER"),
+	}
+}
+
+func commentFlag() cli.Flag {
+	return &cli.StringFlag{Name: "comment", Usage: "`TEXT` that history shows"}
+}
+
+func dryRunFlag() cli.Flag {
+	return &cli.BoolFlag{Name: "dry-run", Usage: "tell the answer without a change"}
+}
+
+func baseFlag(usage string) cli.Flag {
+	return &cli.Uint64Flag{Name: "base", Usage: usage}
+}
+
+// api returns the API at the addresses of the control flag.
+func (a *app) api(c *cli.Command) (operator.API, error) {
+	var addresses []netip.AddrPort
+	for _, text := range c.StringSlice("control") {
+		address, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return nil, usageError{fmt.Errorf("reading --control: %w", err)}
+		}
+		addresses = append(addresses, address)
+	}
+	if len(addresses) == 0 {
+		return nil, usageError{fmt.Errorf("no control instance is named; give --control or set %s", controlVariable)}
+	}
+	api := a.open(addresses)
+	if c.Bool("dry-run") {
+		return operator.NewDryRun(api), nil
+	}
+	return api, nil
+}
+
+// arguments returns the arguments where there are from least to most of them.
+func arguments(c *cli.Command, least, most int) ([]string, error) {
+	args := c.Args().Slice()
+	if len(args) < least || len(args) > most {
+		takes := c.ArgsUsage
+		if takes == "" {
+			takes = "no arguments"
+		}
+		return nil, usageError{fmt.Errorf("%s takes %s; see %s --help", c.FullName(), takes, c.FullName())}
+	}
+	return args, nil
+}
--- /dev/null
+++ b/internal/cmd/historycmd.go
@@ -0,0 +1,44 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"sapphirespread.example/configuration"
+)
+
+func newHistoryCommand(a *app) *cli.Command {
+	return &cli.Command{
+		Name:  "history",
+		Usage: "list who published which revision",
+		Description: "Lists the kept revisions, the oldest first.\n\n" +
+			"Example:\n   sapphirespread history --control 127.0.0.1:7102",
+		Flags: []cli.Flag{controlFlag(), outputFlag()},
+		Action: action(func(ctx context.Context, c *cli.Command) error {
+			if _, err := arguments(c, 0, 0); err != nil {
+				return err
+			}
+			api, err := a.api(c)
+			if err != nil {
+				return err
+			}
+			entries, err := api.History(ctx)
+			if err != nil {
+				return fmt.Errorf("reading the history: %w", err)
+			}
+			return a.print(c, entries, func(w io.Writer) error { return printHistory(w, entries) })
+		}),
+	}
+}
+
+func printHistory(w io.Writer, entries []configuration.Entry) error {
+	var rows [][]any
+	for _, e := range entries {
+		rows = append(rows, []any{e.Revision, e.At.UTC().Format(time.RFC3339), e.Author, e.Changes, e.Comment})
+	}
+	return printTable(w, []string{"REVISION", "AT", "AUTHOR", "CHANGES", "COMMENT"}, rows)
+}
--- /dev/null
+++ b/internal/cmd/statuscmd.go
@@ -0,0 +1,53 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"sapphirespread.example/internal/operator"
+)
+
+func newStatusCommand(a *app) *cli.Command {
+	return &cli.Command{
+		Name:  "status",
+		Usage: "show the state of a control instance and of the daemons attached to it",
+		Description: "Asks the first control instance that answers, leader or not. A daemon whose revision stays behind has\n" +
+			"not yet the set in force.\n\n" +
+			"Example:\n   sapphirespread status --control 127.0.0.1:7102",
+		Flags: []cli.Flag{controlFlag(), outputFlag()},
+		Action: action(func(ctx context.Context, c *cli.Command) error {
+			if _, err := arguments(c, 0, 0); err != nil {
+				return err
+			}
+			api, err := a.api(c)
+			if err != nil {
+				return err
+			}
+			status, err := api.Status(ctx)
+			if err != nil {
+				return fmt.Errorf("reading the status: %w", err)
+			}
+			return a.print(c, status, func(w io.Writer) error { return printStatus(w, status) })
+		}),
+	}
+}
+
+func printStatus(w io.Writer, s operator.Status) error {
+	leader := s.Leader
+	if leader == "" {
+		leader = "not known"
+	}
+	_, err := fmt.Fprintf(w, "process   %s\ncluster   %s\nleader    %s\nterm      %d\napplied   %d\nrevision  %d\n\n",
+		s.Process, s.Cluster, leader, s.Term, s.Applied, s.Revision)
+	if err != nil {
+		return err
+	}
+	var rows [][]any
+	for _, d := range s.Daemons {
+		rows = append(rows, []any{d.Name, d.FailureDomain, d.Revision, d.OperatorsAddress})
+	}
+	return printTable(w, []string{"DAEMON", "FAILURE-DOMAIN", "REVISION", "OPERATORS-ADDRESS"}, rows)
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -5,7 +5,6 @@
 	"net/netip"
 	"os"
 	"path/filepath"
-	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -24,8 +23,6 @@
 	maxMembers         = 7
 )
 
-var namePattern = regexp.MustCompile(`^[a-z0-9]+(-[a-z0-9]+)*$`)
-
 // checker collects the problems of one settings file.
 type checker struct {
 	file     string
@@ -65,7 +62,7 @@
 }
 
 func (c *checker) name(name, value string) {
-	if !namePattern.MatchString(value) {
+	if !configuration.ValidName(value) {
 		c.report(name, quoted(value), "a kebab-case name of letters, digits and hyphens")
 	}
 }
