Decide exit statuses in one place

The stand-in's action returned plain errors, which counted as wrong use. Each command's action is now wrapped where the tree is prepared; errors that carry an exit status keep it.

--- a/internal/cmd/checkcmd.go
+++ b/internal/cmd/checkcmd.go
@@ -21,13 +21,13 @@
 			"Needs no control instance.\n\n" +
 			"Example:\n   sapphirespread check examples/banevakt/objects",
 		Flags: []cli.Flag{outputFlag()},
-		Action: action(func(_ context.Context, c *cli.Command) error {
+		Action: func(_ context.Context, c *cli.Command) error {
 			paths, err := arguments(c, 1, math.MaxInt)
 			if err != nil {
 				return err
 			}
 			return a.check(c, paths)
-		}),
+		},
 	}
 }
 
--- a/internal/cmd/diffcmd.go
+++ b/internal/cmd/diffcmd.go
@@ -27,7 +27,7 @@
 			&cli.Uint64Flag{Name: "to", Usage: "compare `REVISION`"},
 			outputFlag(),
 		},
-		Action: action(func(ctx context.Context, c *cli.Command) error {
+		Action: func(ctx context.Context, c *cli.Command) error {
 			paths, err := arguments(c, 0, math.MaxInt)
 			if err != nil {
 				return err
@@ -39,7 +39,7 @@
 				return usageError{fmt.Errorf("diff needs paths or --from")}
 			}
 			return a.diff(ctx, c, paths)
-		}),
+		},
 	}
 }
 
--- a/internal/cmd/failed.go
+++ b/internal/cmd/failed.go
@@ -21,12 +21,12 @@
 // usageError marks an error of a command that was used wrongly.
 type usageError struct{ error }
 
-// action returns the action of a command whose errors, but for usageError, are failures.
-func action(run func(context.Context, *cli.Command) error) cli.ActionFunc {
+// told returns an action whose errors are failures, but for those that tell an exit status themselves.
+func told(run cli.ActionFunc) cli.ActionFunc {
 	return func(ctx context.Context, c *cli.Command) error {
 		err := run(ctx, c)
 		switch err.(type) {
-		case nil, usageError, *failedError:
+		case nil, usageError, *failedError, cli.ExitCoder:
 			return err
 		}
 		return &failedError{err}
--- a/internal/cmd/historycmd.go
+++ b/internal/cmd/historycmd.go
@@ -18,7 +18,7 @@
 		Description: "Lists the kept revisions, the oldest first.\n\n" +
 			"Example:\n   sapphirespread history --control 127.0.0.1:7102",
 		Flags: []cli.Flag{controlFlag(), outputFlag()},
-		Action: action(func(ctx context.Context, c *cli.Command) error {
+		Action: func(ctx context.Context, c *cli.Command) error {
 			if _, err := arguments(c, 0, 0); err != nil {
 				return err
 			}
@@ -31,7 +31,7 @@
 				return fmt.Errorf("reading the history: %w", err)
 			}
 			return a.print(c, entries, func(w io.Writer) error { return printHistory(w, entries) })
-		}),
+		},
 	}
 }
 
--- a/internal/cmd/keycmd.go
+++ b/internal/cmd/keycmd.go
@@ -35,13 +35,13 @@
 			&cli.StringFlag{Name: "into", Usage: "write the object to a new file key-NAME.toml in `FOLDER`"},
 			outputFlag(),
 		},
-		Action: action(func(_ context.Context, c *cli.Command) error {
+		Action: func(_ context.Context, c *cli.Command) error {
 			args, err := arguments(c, 1, 1)
 			if err != nil {
 				return err
 			}
 			return a.createKey(c, args[0])
-		}),
+		},
 	}
 }
 
--- a/internal/cmd/keywithdrawcmd.go
+++ b/internal/cmd/keywithdrawcmd.go
@@ -24,13 +24,13 @@
 			"that are connected. Set withdrawn = true in your own folder too, or the next publish from it gives the key back.\n\n" +
 			"Example:\n   sapphirespread key withdraw --control 127.0.0.1:7102 oslo-2026",
 		Flags: []cli.Flag{controlFlag(), authorFlag(), commentFlag(), dryRunFlag(), outputFlag()},
-		Action: action(func(ctx context.Context, c *cli.Command) error {
+		Action: func(ctx context.Context, c *cli.Command) error {
 			args, err := arguments(c, 1, 1)
 			if err != nil {
 				return err
 			}
 			return a.withdrawKey(ctx, c, args[0])
-		}),
+		},
 	}
 }
 
--- a/internal/cmd/memberscmd.go
+++ b/internal/cmd/memberscmd.go
@@ -22,7 +22,7 @@
 				Description: "Lists each member with its role and the last log entry that the leader knows it to hold.\n\n" +
 					"Example:\n   sapphirespread members list --control 127.0.0.1:7102",
 				Flags:  []cli.Flag{controlFlag(), outputFlag()},
-				Action: action(a.listMembers),
+				Action: a.listMembers,
 			},
 			{
 				Name:      "add",
@@ -31,7 +31,7 @@
 				Description: "Example:\n" +
 					"   sapphirespread members add --control 127.0.0.1:7102 control-4 10.0.0.4:7101",
 				Flags:  []cli.Flag{controlFlag(), dryRunFlag(), outputFlag()},
-				Action: action(a.addMember),
+				Action: a.addMember,
 			},
 			{
 				Name:      "promote",
@@ -40,9 +40,9 @@
 				Description: "Example:\n" +
 					"   sapphirespread members promote --control 127.0.0.1:7102 control-4",
 				Flags: []cli.Flag{controlFlag(), dryRunFlag(), outputFlag()},
-				Action: action(func(ctx context.Context, c *cli.Command) error {
+				Action: func(ctx context.Context, c *cli.Command) error {
 					return a.changeMember(ctx, c, "promoted", operator.API.PromoteMember)
-				}),
+				},
 			},
 			{
 				Name:      "remove",
@@ -51,9 +51,9 @@
 				Description: "Example:\n" +
 					"   sapphirespread members remove --control 127.0.0.1:7102 control-2",
 				Flags: []cli.Flag{controlFlag(), dryRunFlag(), outputFlag()},
-				Action: action(func(ctx context.Context, c *cli.Command) error {
+				Action: func(ctx context.Context, c *cli.Command) error {
 					return a.changeMember(ctx, c, "removed", operator.API.RemoveMember)
-				}),
+				},
 			},
 		},
 	}
--- a/internal/cmd/publishcmd.go
+++ b/internal/cmd/publishcmd.go
@@ -26,13 +26,13 @@
 			&cli.StringFlag{Name: "id", Usage: "publication `ID` in place of the one made of the content"},
 			authorFlag(), commentFlag(), dryRunFlag(), outputFlag(),
 		},
-		Action: action(func(ctx context.Context, c *cli.Command) error {
+		Action: func(ctx context.Context, c *cli.Command) error {
 			paths, err := arguments(c, 1, math.MaxInt)
 			if err != nil {
 				return err
 			}
 			return a.publish(ctx, c, paths)
-		}),
+		},
 	}
 }
 
--- a/internal/cmd/quarantinecmd.go
+++ b/internal/cmd/quarantinecmd.go
@@ -22,7 +22,7 @@
 				Description: "Lists each fingerprint with the crashes that it was in flight at.\n\n" +
 					"Example:\n   sapphirespread quarantine list --control 127.0.0.1:7102",
 				Flags:  []cli.Flag{controlFlag(), outputFlag()},
-				Action: action(a.listQuarantine),
+				Action: a.listQuarantine,
 			},
 			{
 				Name:      "release",
@@ -31,7 +31,7 @@
 				Description: "Example:\n" +
 					"   sapphirespread quarantine release --control 127.0.0.1:7102 0a1b2c3d4e5f60718293a4b5c6d7e8f9",
 				Flags:  []cli.Flag{controlFlag(), dryRunFlag(), outputFlag()},
-				Action: action(a.release),
+				Action: a.release,
 			},
 		},
 	}
--- a/internal/cmd/rollbackcmd.go
+++ b/internal/cmd/rollbackcmd.go
@@ -25,7 +25,7 @@
 			controlFlag(), baseFlag("`REVISION` that must be in force; the one found by default"),
 			authorFlag(), commentFlag(), dryRunFlag(), outputFlag(),
 		},
-		Action: action(func(ctx context.Context, c *cli.Command) error {
+		Action: func(ctx context.Context, c *cli.Command) error {
 			args, err := arguments(c, 1, 1)
 			if err != nil {
 				return err
@@ -35,7 +35,7 @@
 				return usageError{fmt.Errorf("reading the revision: expected a whole number: %w", err)}
 			}
 			return a.rollback(ctx, c, to)
-		}),
+		},
 	}
 }
 
--- a/internal/cmd/root.go
+++ b/internal/cmd/root.go
@@ -33,6 +33,7 @@
 	newQuarantineCommand,
 	newMembersCommand,
 	newStatusCommand,
+	func(*app) *cli.Command { return standinCommand() },
 }
 
 // Main runs the command that args name, without the name of the program, and returns the exit status.
@@ -92,6 +93,10 @@
 		return exitFailed
 	}
 	fmt.Fprintf(a.stderr, "sapphirespread: %v\n", err)
+	var coded cli.ExitCoder
+	if errors.As(err, &coded) {
+		return coded.ExitCode()
+	}
 	return exitUsage
 }
 
@@ -120,6 +125,7 @@
 	if c.Action == nil {
 		c.Action = func(_ context.Context, c *cli.Command) error { return unknownCommand(c) }
 	}
+	c.Action = told(c.Action)
 	for _, sub := range c.Commands {
 		prepared(sub)
 	}
@@ -128,7 +134,7 @@
 
 func unknownCommand(c *cli.Command) error {
 	if c.Args().Present() {
-		return fmt.Errorf("unknown command %q of %s; see %s --help", c.Args().First(), c.FullName(), c.FullName())
+		return usageError{fmt.Errorf("unknown command %q of %s; see %s --help", c.Args().First(), c.FullName(), c.FullName())}
 	}
-	return fmt.Errorf("a command is missing; see %s --help", c.FullName())
+	return usageError{fmt.Errorf("a command is missing; see %s --help", c.FullName())}
 }
--- a/internal/cmd/showcmd.go
+++ b/internal/cmd/showcmd.go
@@ -23,12 +23,12 @@
 			&cli.StringFlag{Name: "into", Usage: "write into the empty `FOLDER`, with its revision noted"},
 			outputFlag(),
 		},
-		Action: action(func(ctx context.Context, c *cli.Command) error {
+		Action: func(ctx context.Context, c *cli.Command) error {
 			if _, err := arguments(c, 0, 0); err != nil {
 				return err
 			}
 			return a.show(ctx, c)
-		}),
+		},
 	}
 }
 
--- a/internal/cmd/statuscmd.go
+++ b/internal/cmd/statuscmd.go
@@ -18,7 +18,7 @@
 			"not yet the set in force.\n\n" +
 			"Example:\n   sapphirespread status --control 127.0.0.1:7102",
 		Flags: []cli.Flag{controlFlag(), outputFlag()},
-		Action: action(func(ctx context.Context, c *cli.Command) error {
+		Action: func(ctx context.Context, c *cli.Command) error {
 			if _, err := arguments(c, 0, 0); err != nil {
 				return err
 			}
@@ -31,7 +31,7 @@
 				return fmt.Errorf("reading the status: %w", err)
 			}
 			return a.print(c, status, func(w io.Writer) error { return printStatus(w, status) })
-		}),
+		},
 	}
 }
 
--- a/internal/cmd/targetscmd.go
+++ b/internal/cmd/targetscmd.go
@@ -17,7 +17,7 @@
 		Description: "Lists each target with its state and what it reported last.\n\n" +
 			"Example:\n   sapphirespread targets --control 127.0.0.1:7102",
 		Flags: []cli.Flag{controlFlag(), outputFlag()},
-		Action: action(func(ctx context.Context, c *cli.Command) error {
+		Action: func(ctx context.Context, c *cli.Command) error {
 			if _, err := arguments(c, 0, 0); err != nil {
 				return err
 			}
@@ -30,7 +30,7 @@
 				return fmt.Errorf("reading the targets: %w", err)
 			}
 			return a.print(c, targets, func(w io.Writer) error { return printTargets(w, targets) })
-		}),
+		},
 	}
 }
 
