--- /dev/null
+++ b/internal/cmd/controlcmd.go
@@ -0,0 +1,47 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"sapphirespread.example/internal/control"
+	"sapphirespread.example/internal/secure"
+	"sapphirespread.example/internal/settings"
+)
+
+func newControlCommand(a *app) *cli.Command {
+	return &cli.Command{
+		Name:      "control",
+		Usage:     "run a control instance",
+		ArgsUsage: "SETTINGS",
+		Description: "Keeps the replicated state in its data folder and serves daemons and operators.\n" +
+			"Stops on SIGTERM; a leader hands over first.\n\n" +
+			"Example:\n   sapphirespread control control.toml",
+		Flags: []cli.Flag{checkFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			paths, err := arguments(c, 1, 1)
+			if err != nil {
+				return err
+			}
+			loaded, err := settings.LoadControl(paths[0])
+			if err != nil || c.Bool(checkName) {
+				return err
+			}
+			return a.runControl(ctx, loaded)
+		},
+	}
+}
+
+func (a *app) runControl(ctx context.Context, loaded settings.Control) error {
+	logger, err := newLogger(a.stderr, loaded.Log, loaded.Name)
+	if err != nil {
+		return err
+	}
+	secured, err := secure.Load(loaded.TLS)
+	if err != nil {
+		return fmt.Errorf("securing sessions: %w", err)
+	}
+	return control.New(loaded, control.WithLogger(logger), control.WithTLS(secured)).Run(ctx)
+}
--- a/internal/cmd/root.go
+++ b/internal/cmd/root.go
@@ -33,6 +33,8 @@
 	newQuarantineCommand,
 	newMembersCommand,
 	newStatusCommand,
+	newDaemonCommand,
+	newControlCommand,
 	func(*app) *cli.Command { return standinCommand() },
 }
 
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -144,6 +144,7 @@
 		Cluster:         c.settings.Cluster,
 		DataFolder:      c.settings.DataFolder,
 		Members:         members,
+		Address:         c.settings.PeerAdvertise,
 		Join:            c.settings.Join,
 		ElectionTimeout: c.settings.ElectionTimeout,
 		Heartbeat:       c.settings.Heartbeat,
