--- a/internal/cmd/cmd_test.go
+++ b/internal/cmd/cmd_test.go
@@ -85,6 +85,12 @@
 	var stdout, stderr bytes.Buffer
 	app := cmd.New(&stdout, &stderr,
 		cmd.WithAPI(func([]netip.AddrPort) operator.API { return s.api }),
+		cmd.WithProcess(func(address netip.AddrPort) operator.Process {
+			if lines := processEvents[address.Port()]; lines != "" {
+				return operator.NewMemory(time.Now, operator.WithEvents([]byte(lines)))
+			}
+			return operator.NewClient(nil)
+		}),
 		cmd.WithRandom(bytes.NewReader(bytes.Repeat([]byte{1}, 64))),
 	)
 	status := app.Run(t.Context(), strings.Fields(strings.ReplaceAll(line, "$DIR", s.folder)))
@@ -92,6 +98,15 @@
 	return strings.ReplaceAll(text, s.folder, "$DIR")
 }
 
+// processEvents are the events of the processes that answer, by the port of their operators address.
+var processEvents = map[uint16]string{
+	7101: `{"at":{"wall":"2026-05-02T08:00:00.002Z","logical":0},"process":"oslo-1","part":"configuration","text":"revision 1 in force"}`,
+	7102: `{"at":{"wall":"2026-05-02T08:00:00.001Z","logical":1},"process":"control-1","part":"configuration","text":"revision 1 accepted"}
+{"at":{"wall":"2026-05-02T08:00:00.003Z","logical":0},"process":"control-1","part":"replica","text":"leads in term 2"}`,
+	7302: `{"at":{"wall":"2026-05-02T08:00:00.001Z","logical":0},"process":"oslo-2","part":"daemon","text":"started"}
+broken`,
+}
+
 // unsure loses answers and publishes in between as it is told.
 type unsure struct {
 	operator.API
@@ -120,7 +135,7 @@
 func TestEveryCommandHasAnExample(t *testing.T) {
 	for _, line := range []string{
 		"check", "publish", "show", "diff", "history", "rollback", "key create", "key withdraw", "targets",
-		"quarantine list", "quarantine release", "members list", "members add", "members promote", "members remove", "status",
+		"quarantine list", "quarantine release", "members list", "members add", "members promote", "members remove", "status", "timeline",
 	} {
 		var stdout, stderr bytes.Buffer
 		status := cmd.Main(t.Context(), append(strings.Fields(line), "--help"), &stdout, &stderr)
--- a/internal/cmd/flag.go
+++ b/internal/cmd/flag.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strings"
 
 	"github.com/urfave/cli/v3"
 
@@ -64,13 +65,9 @@
 
 // api returns the API at the addresses of the control flag.
 func (a *app) api(c *cli.Command) (operator.API, error) {
-	var addresses []netip.AddrPort
-	for _, text := range c.StringSlice("control") {
-		address, err := netip.ParseAddrPort(text)
-		if err != nil {
-			return nil, usageError{fmt.Errorf("reading --control: %w", err)}
-		}
-		addresses = append(addresses, address)
+	addresses, err := parseAddresses("control", c.StringSlice("control"))
+	if err != nil {
+		return nil, err
 	}
 	if len(addresses) == 0 {
 		return nil, usageError{fmt.Errorf("no control instance is named; give --control or set %s", controlVariable)}
@@ -82,6 +79,18 @@
 	return api, nil
 }
 
+func parseAddresses(flag string, texts []string) ([]netip.AddrPort, error) {
+	addresses := make([]netip.AddrPort, 0, len(texts))
+	for _, text := range texts {
+		address, err := netip.ParseAddrPort(strings.TrimSpace(text))
+		if err != nil {
+			return nil, usageError{fmt.Errorf("reading --%s: %w", flag, err)}
+		}
+		addresses = append(addresses, address)
+	}
+	return addresses, nil
+}
+
 // arguments returns the arguments where there are from least to most of them.
 func arguments(c *cli.Command, least, most int) ([]string, error) {
 	args := c.Args().Slice()
--- a/internal/cmd/root.go
+++ b/internal/cmd/root.go
@@ -33,6 +33,7 @@
 	newQuarantineCommand,
 	newMembersCommand,
 	newStatusCommand,
+	newTimelineCommand,
 	func(*app) *cli.Command { return standinCommand() },
 }
 
@@ -49,6 +50,11 @@
 	return func(a *app) { a.open = open }
 }
 
+// WithProcess sets how commands reach the one process at an operators address.
+func WithProcess(open func(netip.AddrPort) operator.Process) Option {
+	return func(a *app) { a.openOne = open }
+}
+
 // WithRandom sets the source of secrets.
 func WithRandom(random io.Reader) Option {
 	return func(a *app) { a.random = random }
@@ -56,10 +62,11 @@
 
 // app is what the commands share.
 type app struct {
-	stdout io.Writer
-	stderr io.Writer
-	random io.Reader
-	open   func([]netip.AddrPort) operator.API
+	stdout  io.Writer
+	stderr  io.Writer
+	random  io.Reader
+	open    func([]netip.AddrPort) operator.API
+	openOne func(netip.AddrPort) operator.Process
 }
 
 // An App runs commands.
@@ -72,6 +79,9 @@
 		stderr: stderr,
 		random: rand.Reader,
 		open:   func(addresses []netip.AddrPort) operator.API { return operator.NewClient(addresses) },
+		openOne: func(address netip.AddrPort) operator.Process {
+			return operator.NewClient([]netip.AddrPort{address}, operator.WithPatience(0))
+		},
 	}}
 	for _, opt := range opts {
 		opt(&a.app)
