--- a/limit/ledger.go
+++ b/limit/ledger.go
@@ -5,6 +5,7 @@
 const (
 	nanotokens         = 1_000_000_000
 	maximumBurst       = int64(1) << 32
+	smallestPortion    = 4 // tokens
 	minimumRetryAfter  = time.Millisecond
 	maximumRetryAfter  = time.Minute
 	holderActiveFor    = time.Second
@@ -177,7 +178,7 @@
 // portion is what the first of the held asks gets: a fair part for its waiting requests, and of what is over a
 // part for its prefetch.
 func (l *ledger) portion(ask Ask) int64 {
-	fair := max(1, l.whole()/int64(max(1, len(l.held))))
+	fair := max(smallestPortion, l.whole()/int64(max(1, len(l.held))))
 	needed := min(ask.Waiting, fair, l.whole())
 	if len(l.held) > 1 {
 		return needed
--- a/limit/owner.go
+++ b/limit/owner.go
@@ -101,7 +101,8 @@
 	return answers
 }
 
-// Next returns when Poll can answer a held ask at the earliest, if one is held.
+// Next returns when to Poll next, if an ask is held: not before PollInterval, so that one grant carries the tokens
+// of that time.
 func (o *Owner) Next(now time.Time) (time.Time, bool) {
 	var next time.Time
 	for _, l := range o.queued {
@@ -113,6 +114,9 @@
 			next = at
 		}
 	}
+	if earliest := now.Add(PollInterval); next.Before(earliest) {
+		next = earliest
+	}
 	return next, len(o.queued) > 0
 }
 
--- a/limit/owneroption.go
+++ b/limit/owneroption.go
@@ -9,6 +9,9 @@
 	DefaultClockRateMargin = 0.0005
 )
 
+// PollInterval is the shortest time from one poll of an owner to the next.
+const PollInterval = 2 * time.Millisecond
+
 // An OwnerOption configures an Owner.
 type OwnerOption func(*Owner)
 
--- /dev/null
+++ b/limit/queue_test.go
@@ -0,0 +1,43 @@
+package limit_test
+
+import (
+	"testing"
+	"time"
+
+	"sapphirespread.example/limit"
+)
+
+func TestQueueServesNewestFirstOnlyInLongOverload(t *testing.T) {
+	q := limit.NewQueue[int](3)
+	pop := func(now time.Duration, want int) {
+		t.Helper()
+		if got, ok := q.Pop(after(now)); !ok || got != want {
+			t.Fatalf("at %v: popped %d, %v, want %d", now, got, ok, want)
+		}
+	}
+	push := func(now time.Duration, request int) {
+		t.Helper()
+		if displaced, full := q.Push(after(now), request); full {
+			t.Fatalf("at %v: %d displaced", now, displaced)
+		}
+	}
+	push(0, 1)
+	push(0, 2)
+	push(time.Second, 3)
+	if displaced, full := q.Push(after(time.Second), 4); !full || displaced != 1 {
+		t.Fatalf("displaced %d, %v, want 1", displaced, full)
+	}
+	pop(time.Second, 2)
+	push(time.Second, 5)
+	pop(5900*time.Millisecond, 3)
+	push(6*time.Second, 6)
+	pop(6*time.Second, 6)
+	if q.Remove(6) || !q.Remove(4) || q.Len() != 1 {
+		t.Fatal("removal of a request that left or waits")
+	}
+	pop(7*time.Second, 5)
+	push(7*time.Second, 7)
+	push(7*time.Second, 8)
+	pop(7*time.Second, 7)
+	pop(20*time.Second, 8)
+}
