Reuse streams between daemons and send short answers in one write

Cause: a call between two daemons opened a stream (an extra write and a window update each way), allocated two read buffers of 16 KiB and sent its answer in three writes. Ruled out: a session a call; sharing one stream by several calls at a time (one slow reader would hold up the others). Change: a stream carries one call after another, matched by call id; the header, the body and the end of a short answer go in one write.

--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -52,6 +52,11 @@
 	return xxhash.Sum64String(c.wholeID)
 }
 
+// bodyless reports whether the request is sent without any frame for its body.
+func (c *call) bodyless() bool {
+	return c.head.contentLength == 0 && len(c.head.trailerNames) == 0
+}
+
 // remaining returns the time until the call's deadline.
 func (c *call) remaining(now time.Time) time.Duration {
 	return c.deadline.Sub(now)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -53,6 +53,7 @@
 	tokens      *tokenTable
 	backend     *backend
 	pool        *peer.Pool
+	streams     *callStreams
 	peers       *peer.Server
 	link        *link
 	counters    *counters
@@ -153,8 +154,9 @@
 func (d *Daemon) openPeers() {
 	self := peer.Identity{Cluster: d.settings.Cluster, Process: d.settings.Name, Incarnation: d.incarnation}
 	d.pool = peer.NewPool(self, peer.WithPoolLogger(d.logger), peer.WithPoolTLS(d.tls), peer.WithDialTimeout(d.settings.Timeouts.Dial))
+	d.streams = newCallStreams(d.pool)
 	d.peers = peer.NewServer(self, peer.WithServerLogger(d.logger), peer.WithServerTLS(d.tls))
-	d.peers.Handle(kindCall, d.serveCall)
+	d.peers.Handle(kindCall, d.serveCalls)
 }
 
 // A httpServer serves one listener.
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -28,11 +28,12 @@
 
 // A fleet is a control instance with daemons and backend servers on loopback.
 type fleet struct {
-	t        *testing.T
+	t        testing.TB
 	control  *control.Control
 	peer     netip.AddrPort
 	revision uint64
 	logs     *lockedBuffer
+	served   *daemon.Daemon
 }
 
 // A backendServer is one instance: a backend server with its daemon.
@@ -46,7 +47,7 @@
 	leave   chan struct{}
 }
 
-func listen(t *testing.T) net.Listener {
+func listen(t testing.TB) net.Listener {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -59,7 +60,7 @@
 	return netip.MustParseAddrPort(listener.Addr().String())
 }
 
-func newFleet(t *testing.T) *fleet {
+func newFleet(t testing.TB) *fleet {
 	t.Helper()
 	f := &fleet{t: t, logs: &lockedBuffer{}}
 	peers := listen(t)
@@ -165,6 +166,7 @@
 	f.t.Helper()
 	b := &backendServer{name: name, handler: handler, leave: make(chan struct{})}
 	b.daemon, b.stop, b.ended = f.daemon(name)
+	f.served = b.daemon
 	listener := listen(f.t)
 	b.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { b.handler(w, r) })}
 	go func() { _ = b.server.Serve(listener) }()
--- a/internal/daemon/remote.go
+++ b/internal/daemon/remote.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"sapphirespread.example/internal/peer"
@@ -13,14 +15,11 @@
 	"sapphirespread.example/target"
 )
 
-const (
-	kindCall       = "call"
-	frameDataBytes = 32 << 10
-)
+const frameDataBytes = 32 << 10
 
 // runRemote runs c at another daemon's target; done is called once, when the call ends.
 func (d *Daemon) runRemote(ctx context.Context, c *call, to target.Target, done func(callReport)) (*answer, *attemptError) {
-	stream, err := d.pool.Open(ctx, to.Peer, kindCall)
+	stream, err := d.streams.get(ctx, to.Peer)
 	if err != nil {
 		done(callReport{unused: c.allowance.Left()})
 		if ctx.Err() != nil {
@@ -28,13 +27,15 @@
 		}
 		return nil, refuse(refusal.TargetUnreachable, err.Error())
 	}
-	remote := &remoteCall{stream: stream, call: c, done: done}
+	remote := &remoteCall{streams: d.streams, address: to.Peer, stream: stream, call: c, done: done}
 	remote.stop = context.AfterFunc(ctx, stream.Abort)
 	return remote.start(ctx, to)
 }
 
 // A remoteCall is a call under way at another daemon.
 type remoteCall struct {
+	streams  *callStreams
+	address  netip.AddrPort
 	stream   *peer.Stream
 	call     *call
 	done     func(callReport)
@@ -43,16 +44,20 @@
 	data     []byte
 	received uint64
 	trailer  http.Header
+	bodySent atomic.Bool
 }
 
 func (r *remoteCall) start(ctx context.Context, to target.Target) (*answer, *attemptError) {
-	if err := r.stream.Send(r.header(to)); err != nil {
+	header := &peerpb.Frame{CallId: r.call.id, Body: &peerpb.Frame_Call{Call: r.header(to)}}
+	if err := r.stream.Send(header); err != nil {
 		return nil, r.lost(ctx, err)
 	}
-	if !r.call.body.empty() {
+	if r.call.bodyless() {
+		r.bodySent.Store(true)
+	} else {
 		body, err := r.call.body.open()
 		if err != nil {
-			r.end(callReport{})
+			r.end(callReport{}, false)
 			return nil, refuse(refusal.TargetFailed, err.Error())
 		}
 		go r.sendBody(body)
@@ -115,7 +120,9 @@
 		}
 	}
 	end := &peerpb.End{Length: sent, Trailers: encodeHeader(r.call.body.trailer())}
-	_ = r.stream.Send(&peerpb.Frame{CallId: r.call.id, Body: &peerpb.Frame_End{End: end}})
+	if r.stream.Send(&peerpb.Frame{CallId: r.call.id, Body: &peerpb.Frame_End{End: end}}) == nil {
+		r.bodySent.Store(true)
+	}
 }
 
 func (r *remoteCall) send(data *peerpb.Frame_Data) error {
@@ -143,7 +150,7 @@
 	case *peerpb.Frame_Refusal:
 		return nil, r.refused(body.Refusal)
 	case *peerpb.Frame_Abort:
-		r.end(decodeReport(body.Abort.GetReport(), time.Now()))
+		r.end(decodeReport(body.Abort.GetReport(), time.Now()), true)
 		return nil, refuse(refusal.TargetFailed, body.Abort.GetKind())
 	default:
 		return nil, r.lost(ctx, errors.New("answer starts with a frame of another kind"))
@@ -162,7 +169,7 @@
 
 func (r *remoteCall) refused(said *peerpb.Refusal) *attemptError {
 	report := decodeReport(said.GetReport(), time.Now())
-	r.end(report)
+	r.end(report, true)
 	refused := refuse(refusal.Kind(said.GetKind()), said.GetDetail())
 	refused.notRun = refused.notRun && said.GetNotRun()
 	refused.retryAfter = time.Duration(said.GetRetryAfterUs()) * time.Microsecond
@@ -172,7 +179,7 @@
 
 // lost ends a call whose answer did not come; the part of the allowance that it had is lost.
 func (r *remoteCall) lost(ctx context.Context, err error) *attemptError {
-	r.end(callReport{})
+	r.end(callReport{}, false)
 	switch {
 	case !time.Now().Before(r.call.deadline):
 		return refuse(refusal.DeadlineExceeded, err.Error())
@@ -183,14 +190,18 @@
 	}
 }
 
-// end closes the stream and passes on the report; only the first call counts.
-func (r *remoteCall) end(report callReport) {
+// end passes on the report, and keeps the stream where the exchange is over on both sides; only the
+// first call counts.
+func (r *remoteCall) end(report callReport, clean bool) {
 	if r.ended {
 		return
 	}
 	r.ended = true
-	r.stop()
-	r.stream.Abort()
+	if r.stop() && clean && r.bodySent.Load() {
+		r.streams.put(r.address, r.stream)
+	} else {
+		r.stream.Abort()
+	}
 	r.done(report)
 }
 
@@ -213,7 +224,7 @@
 func (r *remoteCall) next() error {
 	frame, err := r.receive()
 	if err != nil {
-		r.end(callReport{})
+		r.end(callReport{}, false)
 		return refuse(refusal.AnswerCut, err.Error())
 	}
 	switch body := frame.GetBody().(type) {
@@ -223,20 +234,20 @@
 		return nil
 	case *peerpb.Frame_End:
 		r.trailer = decodeHeader(body.End.GetTrailers())
-		r.end(decodeReport(body.End.GetReport(), time.Now()))
+		r.end(decodeReport(body.End.GetReport(), time.Now()), true)
 		if body.End.GetLength() != r.received {
 			return refuse(refusal.AnswerCut, "the answer has another length than its sender counted")
 		}
 		return nil
 	default:
-		r.end(decodeReport(frame.GetAbort().GetReport(), time.Now()))
+		r.end(decodeReport(frame.GetAbort().GetReport(), time.Now()), frame.GetAbort() != nil)
 		return refuse(refusal.AnswerCut, "the target aborted the answer")
 	}
 }
 
 // Close ends the call and cancels it where it runs.
 func (r *remoteCall) Close() error {
-	r.end(callReport{})
+	r.end(callReport{}, false)
 	return nil
 }
 
--- a/internal/daemon/requestbody.go
+++ b/internal/daemon/requestbody.go
@@ -41,11 +41,6 @@
 	return newKeptBody(content, trailers), nil
 }
 
-// empty reports whether the body is known to have no bytes.
-func (b *requestBody) empty() bool {
-	return b.isKept && len(b.kept) == 0
-}
-
 // sendable reports whether the body can be sent now.
 func (b *requestBody) sendable() bool {
 	return b.isKept || !b.taken.Load()
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"encoding/hex"
 	"errors"
 	"io"
+	"net/http"
+	"sync/atomic"
 	"time"
 
 	"sapphirespread.example/internal/peer"
@@ -14,16 +15,10 @@
 	"sapphirespread.example/retry"
 )
 
-// serveCall serves a call that another daemon sends to this daemon's backend server.
-func (d *Daemon) serveCall(ctx context.Context, _ peer.Identity, stream *peer.Stream) {
-	var head peerpb.CallHeader
-	if err := stream.Receive(&head); err != nil {
-		return
-	}
-	d.inFlight.add()
-	defer d.inFlight.done()
-	served := &servedCall{daemon: d, stream: stream, call: decodeCall(&head, time.Now())}
-	served.run(ctx, &head)
+// serveCalls serves the calls that another daemon sends to this daemon's backend server on one stream.
+func (d *Daemon) serveCalls(ctx context.Context, _ peer.Identity, stream *peer.Stream) {
+	reader := &callReader{daemon: d, stream: stream}
+	reader.run(ctx)
 }
 
 func decodeCall(head *peerpb.CallHeader, now time.Time) *call {
@@ -64,27 +59,59 @@
 
 // A servedCall is a call of another daemon under way at this one.
 type servedCall struct {
-	daemon *Daemon
-	stream *peer.Stream
-	call   *call
-	report callReport
+	daemon   *Daemon
+	stream   *peer.Stream
+	call     *call
+	report   callReport
+	target   string
+	starts   uint64
+	body     *io.PipeWriter
+	trailer  atomic.Pointer[http.Header]
+	received uint64
+	cancel   context.CancelFunc
+	done     chan struct{}
 }
 
-func (s *servedCall) run(ctx context.Context, head *peerpb.CallHeader) {
-	ctx, cancel := context.WithDeadline(ctx, s.call.deadline)
-	defer cancel()
-	reader := &frameReader{stream: s.stream, callID: s.call.id}
-	if head.GetContentLength() == 0 && len(s.call.head.trailerNames) == 0 {
+// newServedCall returns the call that head starts.
+func newServedCall(d *Daemon, stream *peer.Stream, head *peerpb.CallHeader) *servedCall {
+	s := &servedCall{
+		daemon: d,
+		stream: stream,
+		call:   decodeCall(head, time.Now()),
+		target: head.GetTarget(),
+		starts: head.GetTargetIncarnation(),
+		done:   make(chan struct{}),
+	}
+	if s.call.bodyless() {
 		s.call.body = newKeptBody(nil, nil)
-		go reader.watch(cancel)
-	} else {
-		bodyReader, bodyWriter := io.Pipe()
-		defer func() { _ = bodyReader.Close() }()
-		s.call.body = newStreamedBody(bodyReader, reader.trailers)
-		go reader.pump(bodyWriter, cancel)
+		return s
+	}
+	reader, writer := io.Pipe()
+	s.body = writer
+	s.call.body = newStreamedBody(reader, s.trailers)
+	return s
+}
+
+// trailers returns the request's trailers, which are complete once the body was read to its end.
+func (s *servedCall) trailers() http.Header {
+	trailer := s.trailer.Load()
+	if trailer == nil {
+		return nil
+	}
+	return *trailer
+}
+
+// run runs the call and answers it.
+func (s *servedCall) run(ctx context.Context) {
+	s.daemon.inFlight.add()
+	defer s.daemon.inFlight.done()
+	defer close(s.done)
+	defer s.cancel()
+	if s.body != nil {
+		defer func() { _ = s.body.CloseWithError(io.ErrClosedPipe) }()
 	}
 	done := func(report callReport) { s.report = report }
-	answer, refused := s.daemon.runLocal(ctx, s.call, head.GetTarget(), head.GetTargetIncarnation(), done)
+	answer, refused := s.daemon.runLocal(ctx, s.call, s.target, s.starts, done)
 	if refused != nil {
 		s.sendRefusal(refused)
 		return
@@ -112,10 +139,11 @@
 		ContentLength: a.contentLength,
 		TrailerNames:  a.trailerNames,
 	}
-	if s.stream.Send(&peerpb.Frame{CallId: s.call.id, Body: &peerpb.Frame_Answer{Answer: head}}) != nil {
+	short := a.contentLength >= 0 && a.contentLength <= frameDataBytes
+	if s.put(&peerpb.Frame{CallId: s.call.id, Body: &peerpb.Frame_Answer{Answer: head}}, short) != nil {
 		return
 	}
-	sent, err := s.sendBody(a.body)
+	sent, err := s.sendBody(a.body, short)
 	if err != nil {
 		_ = a.body.Close()
 		abort := &peerpb.Abort{Kind: string(refusal.AnswerCut), Report: encodeReport(s.report, time.Now())}
@@ -130,7 +158,15 @@
 	_ = s.stream.Send(&peerpb.Frame{CallId: s.call.id, Body: &peerpb.Frame_End{End: end}})
 }
 
-func (s *servedCall) sendBody(body io.Reader) (uint64, error) {
+// put sends a frame, or keeps it for the next one where the whole answer is short.
+func (s *servedCall) put(frame *peerpb.Frame, short bool) error {
+	if short {
+		return s.stream.Buffer(frame)
+	}
+	return s.stream.Send(frame)
+}
+
+func (s *servedCall) sendBody(body io.Reader, short bool) (uint64, error) {
 	buffer := takeBuffer()
 	defer putBuffer(buffer)
 	var sent uint64
@@ -139,7 +175,7 @@
 		if n > 0 {
 			sent += uint64(n)
 			frame := &peerpb.Frame{CallId: s.call.id, Body: &peerpb.Frame_Data{Data: (*buffer)[:n]}}
-			if sendErr := s.stream.Send(frame); sendErr != nil {
+			if sendErr := s.put(frame, short); sendErr != nil {
 				return sent, sendErr
 			}
 		}
@@ -156,8 +192,3 @@
 func (d *Daemon) nextCallID() uint64 {
 	return d.callIDs.Add(1)
 }
-
-// fingerprintText returns the form in which a fingerprint is shown.
-func fingerprintText(fingerprint quarantine.Fingerprint) string {
-	return hex.EncodeToString(fingerprint[:])
-}
--- a/internal/peer/delimited.go
+++ b/internal/peer/delimited.go
@@ -1,14 +1,21 @@
 package peer
 
 import (
+	"errors"
 	"fmt"
 
 	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 )
 
+var errTooLarge = errors.New("sending a message: larger than a peer accepts")
+
 // appendDelimited appends message behind its length, as protodelim reads it.
-func appendDelimited(buffer []byte, size int, message proto.Message) ([]byte, error) {
+func appendDelimited(buffer []byte, message proto.Message) ([]byte, error) {
+	size := proto.Size(message)
+	if size > maxMessageBytes {
+		return nil, errTooLarge
+	}
 	buffer = protowire.AppendVarint(buffer, uint64(size))
 	encoded, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(buffer, message)
 	if err != nil {
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"io"
 	"sync"
 	"time"
@@ -14,7 +13,7 @@
 
 const (
 	maxMessageBytes = 16 << 20
-	readBufferBytes = 16 << 10
+	readBufferBytes = 4 << 10
 )
 
 var readOptions = protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}
@@ -23,31 +22,44 @@
 
 // A Stream carries messages of one kind of exchange; one goroutine may send while another receives.
 type Stream struct {
-	inner  *yamux.Stream
-	reader *bufio.Reader
+	inner   *yamux.Stream
+	reader  *bufio.Reader
+	pending []byte
 }
 
 func newStream(inner *yamux.Stream) *Stream {
 	return &Stream{inner: inner, reader: bufio.NewReaderSize(inner, readBufferBytes)}
 }
 
-// Send writes one message and returns once the session has taken it.
+// Send writes the buffered messages and this one, and returns once the session has taken them.
 func (s *Stream) Send(message proto.Message) error {
-	size := proto.Size(message)
-	if size > maxMessageBytes {
-		return errors.New("sending a message: larger than a peer accepts")
-	}
 	pooled, _ := bufferPool.Get().(*[]byte)
 	defer bufferPool.Put(pooled)
-	encoded, err := appendDelimited((*pooled)[:0], size, message)
+	encoded, err := appendDelimited(append((*pooled)[:0], s.pending...), message)
 	if err != nil {
 		return err
 	}
 	*pooled = encoded
+	s.pending = s.pending[:0]
 	_, err = s.inner.Write(encoded)
 	return err
 }
 
+// Buffer keeps one message until the next Send, which writes both at once.
+func (s *Stream) Buffer(message proto.Message) error {
+	encoded, err := appendDelimited(s.pending, message)
+	if err != nil {
+		return err
+	}
+	s.pending = encoded
+	return nil
+}
+
+// Usable reports whether the session of the stream still stands.
+func (s *Stream) Usable() bool {
+	return !s.inner.Session().IsClosed()
+}
+
 // Receive reads the next message; it returns io.EOF where the peer closed the stream between messages.
 func (s *Stream) Receive(message proto.Message) error {
 	return readOptions.UnmarshalFrom(s.reader, message)
