--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -169,3 +169,26 @@
 		t.Errorf("%d of 20 waits differ, want jitter", len(seen))
 	}
 }
+
+// TestResendsShareOneAllowance checks that the sendings of one request have its allowance together, at any
+// times within the window, and that the record stays bounded.
+func TestResendsShareOneAllowance(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const n = 4
+		resends := retry.NewResends(retry.WithResendBound(3), retry.WithResendWindow(time.Second))
+		key := retry.ResendKey{Workspace: "club", Route: "book", IdempotencyKey: "k"}
+		now, extra := start, 0
+		for sending := range rapid.IntRange(1, 10).Draw(t, "sendings") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 99).Draw(t, "ms")) * time.Millisecond)
+			extra += resends.Enter(now, key, n).Take(rapid.IntRange(0, 3).Draw(t, "taken"))
+			if extra > n {
+				t.Fatalf("%d extra attempts of %d after %d sendings", extra, n, sending+1)
+			}
+		}
+		other := key
+		other.Workspace = "agency"
+		if resends.Enter(now, other, n).Left() != n || resends.Enter(now.Add(2*time.Second), key, n).Left() != n {
+			t.Fatal("another request, or one after the window, has an allowance of its own")
+		}
+	})
+}
--- a/target/chooseroption.go
+++ b/target/chooseroption.go
@@ -6,7 +6,7 @@
 type ChooserOption func(*Chooser)
 
 const (
-	defaultSilence   = 2 * time.Second
+	defaultSilence   = 3 * time.Second
 	defaultSlowStart = 10 * time.Second
 )
 
