Prove accepted publications with killed, frozen and cut control processes

Cause: what was accepted must stay in force when processes die, freeze, lose their folders or are cut off, shown with real processes. Change: one test over three processes and relays: kill -9 of the leader, SIGSTOP and resume, a link that goes silent, two data folders lost one after the other, a planned stop, kill -9 of all. After each publication all accepted ones are read back in order. Benchmarks of the store over loopback with real fsync.

--- /dev/null
+++ b/internal/control/process_test.go
@@ -0,0 +1,265 @@
+package control_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"sapphirespread.example/configuration"
+	"sapphirespread.example/internal/operator"
+)
+
+const processBound = 30 * time.Second
+
+// process is one control instance in an operating system process of its own.
+type process struct {
+	name      string
+	folder    string
+	settings  string
+	operators netip.AddrPort
+	relay     *relay
+	command   *exec.Cmd
+	log       *bytes.Buffer
+}
+
+// processes are three control instances that reach each other through relays.
+type processes struct {
+	t        *testing.T
+	binary   string
+	all      []*process
+	client   *operator.Client
+	accepted []string
+	revision uint64
+}
+
+func reserve(t *testing.T) (net.Listener, netip.AddrPort) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return listener, netip.MustParseAddrPort(listener.Addr().String())
+}
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	listener, address := reserve(t)
+	_ = listener.Close()
+	return address
+}
+
+func startThree(t *testing.T) *processes {
+	t.Helper()
+	p := &processes{t: t, binary: filepath.Join(t.TempDir(), "sapphirespread")}
+	if out, err := exec.Command("go", "build", "-o", p.binary, "sapphirespread.example").CombinedOutput(); err != nil {
+		t.Fatalf("building: %v\n%s", err, out)
+	}
+	var members strings.Builder
+	var addresses []netip.AddrPort
+	var listens []netip.AddrPort
+	for i := range 3 {
+		listener, relayed := reserve(t)
+		listens = append(listens, freeAddress(t))
+		one := &process{name: fmt.Sprintf("control-%d", i+1), folder: t.TempDir(), operators: freeAddress(t)}
+		one.relay = newRelay(listener, listens[i])
+		p.all = append(p.all, one)
+		addresses = append(addresses, one.operators)
+		fmt.Fprintf(&members, "\n[[members]]\nname = %q\naddress = %q\n", one.name, relayed)
+	}
+	for i, one := range p.all {
+		one.settings = filepath.Join(t.TempDir(), "control.toml")
+		text := fmt.Sprintf("name = %q\ncluster = \"test\"\nfailure-domain = \"east\"\npeer-listen = %q\npeer-advertise = %q\noperators-listen = %q\n"+
+			"data-folder = %q\nelection-timeout = \"400ms\"\nheartbeat = \"50ms\"\n%s",
+			one.name, listens[i], one.relay.listener.Addr(), one.operators, filepath.Join(one.folder, "data"), members.String())
+		if err := os.WriteFile(one.settings, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		p.start(one)
+	}
+	p.client = operator.NewClient(addresses, operator.WithPatience(processBound), operator.WithTimeout(time.Second))
+	t.Cleanup(p.stop)
+	return p
+}
+
+func (p *processes) start(one *process) {
+	p.t.Helper()
+	one.log = &bytes.Buffer{}
+	one.command = exec.Command(p.binary, "control", one.settings)
+	one.command.Stderr = one.log
+	if err := one.command.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+func (p *processes) stop() {
+	for _, one := range p.all {
+		p.signal(one, syscall.SIGCONT)
+		p.kill(one)
+		one.relay.close()
+		if p.t.Failed() {
+			p.t.Logf("%s:\n%s", one.name, one.log)
+		}
+	}
+}
+
+func (p *processes) signal(one *process, signal syscall.Signal) {
+	_ = one.command.Process.Signal(signal)
+}
+
+func (p *processes) kill(one *process) {
+	p.signal(one, syscall.SIGKILL)
+	_ = one.command.Wait()
+}
+
+func (p *processes) eventually(what string, holds func(ctx context.Context) bool) {
+	p.t.Helper()
+	for deadline := time.Now().Add(processBound); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		held := holds(ctx)
+		cancel()
+		if held {
+			return
+		}
+	}
+	p.t.Fatalf("waited for: %s", what)
+}
+
+// only returns a client of one instance that asks once.
+func only(one *process) *operator.Client {
+	return operator.NewClient([]netip.AddrPort{one.operators}, operator.WithPatience(0), operator.WithTimeout(time.Second))
+}
+
+// split returns the leader and the other instances.
+func (p *processes) split() (leader *process, others []*process) {
+	p.t.Helper()
+	p.eventually("a leader", func(ctx context.Context) bool {
+		leader, others = nil, nil
+		for _, one := range p.all {
+			if _, err := only(one).Current(ctx); err == nil && leader == nil {
+				leader = one
+			} else {
+				others = append(others, one)
+			}
+		}
+		return leader != nil
+	})
+	return leader, others
+}
+
+// publish publishes a set on the last accepted revision and checks that the answer holds at once and in order.
+func (p *processes) publish(count int) {
+	p.t.Helper()
+	for range count {
+		id := fmt.Sprintf("publication-%d", len(p.accepted))
+		limit := configuration.Limit{Name: "limit", Rate: float64(len(p.accepted) + 1), Burst: 10}
+		published, err := p.client.Publish(context.Background(), configuration.Publish{
+			ID: id, Base: p.revision, Author: "test", Set: configuration.Set{Limits: []configuration.Limit{limit}},
+		})
+		if err != nil || published.Kind != configuration.Accepted || published.Revision <= p.revision {
+			p.t.Fatalf("%s on %d: %+v, %v", id, p.revision, published, err)
+		}
+		p.revision = published.Revision
+		p.accepted = append(p.accepted, id)
+		p.check()
+	}
+}
+
+// check reads from the leader that all accepted publications are in force, each once and in order.
+func (p *processes) check() {
+	p.t.Helper()
+	entries, err := p.client.History(context.Background())
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	var ids []string
+	for _, entry := range entries {
+		if strings.HasPrefix(entry.ID, "publication-") {
+			ids = append(ids, entry.ID)
+		}
+	}
+	if fmt.Sprint(ids) != fmt.Sprint(p.accepted) {
+		p.t.Fatalf("in force are %v, accepted were %v", ids, p.accepted)
+	}
+}
+
+// waitForAll waits until all instances vote and have the last accepted revision.
+func (p *processes) waitForAll() {
+	p.t.Helper()
+	p.eventually("all instances to have the last revision", func(ctx context.Context) bool {
+		members, err := p.client.Members(ctx)
+		caughtUp := err == nil && len(members) == len(p.all)
+		for _, member := range members {
+			caughtUp = caughtUp && member.Role != operator.RoleLearner
+		}
+		for _, one := range p.all {
+			status, err := only(one).Status(ctx)
+			caughtUp = caughtUp && err == nil && status.Revision == p.revision
+		}
+		return caughtUp
+	})
+}
+
+func TestAcceptedPublicationsOutliveProcesses(t *testing.T) {
+	p := startThree(t)
+	p.publish(3)
+	p.waitForAll()
+
+	leader, _ := p.split()
+	p.kill(leader)
+	p.publish(3)
+	p.start(leader)
+	p.waitForAll()
+
+	leader, _ = p.split()
+	p.signal(leader, syscall.SIGSTOP)
+	p.publish(3)
+	p.signal(leader, syscall.SIGCONT)
+	p.check()
+	p.waitForAll()
+
+	leader, _ = p.split()
+	leader.relay.setCut(true)
+	p.publish(3)
+	leader.relay.setCut(false)
+	p.waitForAll()
+
+	for range 2 {
+		_, others := p.split()
+		lost := others[0]
+		p.kill(lost)
+		if err := os.RemoveAll(filepath.Join(lost.folder, "data")); err != nil {
+			t.Fatal(err)
+		}
+		p.publish(3)
+		p.start(lost)
+		p.waitForAll()
+	}
+
+	leader, _ = p.split()
+	p.signal(leader, syscall.SIGTERM)
+	if err := leader.command.Wait(); err != nil {
+		t.Errorf("planned stop: %v", err)
+	}
+	p.publish(1)
+	p.start(leader)
+	p.waitForAll()
+
+	for _, one := range p.all {
+		p.kill(one)
+	}
+	for _, one := range p.all {
+		p.start(one)
+	}
+	p.check()
+	p.publish(1)
+	p.waitForAll()
+}
--- /dev/null
+++ b/internal/store/bench_test.go
@@ -0,0 +1,219 @@
+package store_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"sapphirespread.example/internal/peer"
+	"sapphirespread.example/internal/store"
+	"sapphirespread.example/replica"
+)
+
+const benchCommandBytes = 200
+
+// process is a store with sessions over loopback and a folder on disk.
+type process struct {
+	*store.Store
+	pool   *peer.Pool
+	server *peer.Server
+}
+
+func (p *process) stop() {
+	_ = p.Close()
+	_ = p.pool.Close()
+	_ = p.server.Close()
+}
+
+// discard is a machine that counts commands and keeps none.
+type discard struct{ count int }
+
+func (d *discard) Apply(time.Time, uint64, []byte) []byte {
+	d.count++
+	return nil
+}
+func (d *discard) Snapshot() ([]byte, error) { return []byte("s"), nil }
+func (d *discard) Restore([]byte) error      { return nil }
+
+func startProcesses(b *testing.B, size int, opts ...store.Option) []*process {
+	b.Helper()
+	var members []store.Member
+	var listeners []net.Listener
+	for i := range size {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		listeners = append(listeners, listener)
+		address := netip.MustParseAddrPort(listener.Addr().String())
+		members = append(members, store.Member{Name: fmt.Sprintf("control-%d", i), Address: address})
+	}
+	var processes []*process
+	for i, member := range members {
+		settings := store.Settings{Name: member.Name, DataFolder: b.TempDir(), Members: members}
+		processes = append(processes, startProcess(b, settings, listeners[i], opts...))
+	}
+	b.Cleanup(func() {
+		for _, p := range processes {
+			p.stop()
+		}
+	})
+	return processes
+}
+
+func startProcess(b *testing.B, settings store.Settings, listener net.Listener, opts ...store.Option) *process {
+	b.Helper()
+	self := peer.Identity{Cluster: "bench", Process: settings.Name, Incarnation: 1}
+	p := &process{pool: peer.NewPool(self), server: peer.NewServer(self)}
+	opened, err := store.Open(settings, &discard{}, p.pool, p.server, opts...)
+	if err != nil {
+		b.Fatal(err)
+	}
+	p.Store = opened
+	go func() { _ = p.server.Serve(listener) }()
+	return p
+}
+
+// awaitLeader returns the process that takes proposals.
+func awaitLeader(b *testing.B, processes []*process) *process {
+	b.Helper()
+	for {
+		for _, p := range processes {
+			if !p.Lease(time.Now()) {
+				continue
+			}
+			if _, err := p.Propose(context.Background(), []byte("ready")); err == nil {
+				return p
+			} else if errors.Is(err, store.ErrStopped) {
+				b.Fatal(err)
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func quantile(sorted []time.Duration, q float64) float64 {
+	at := int(math.Ceil(q*float64(len(sorted)))) - 1
+	return float64(sorted[max(at, 0)]) / float64(time.Millisecond)
+}
+
+func BenchmarkPropose(b *testing.B) {
+	for _, replicas := range []int{1, 3} {
+		for _, proposers := range []int{1, 16, 256} {
+			b.Run(fmt.Sprintf("replicas=%d/proposers=%d", replicas, proposers), func(b *testing.B) {
+				leader := awaitLeader(b, startProcesses(b, replicas))
+				benchmarkProposers(b, leader, proposers)
+			})
+		}
+	}
+}
+
+func benchmarkProposers(b *testing.B, leader *process, proposers int) {
+	command := make([]byte, benchCommandBytes)
+	latencies := make([]time.Duration, b.N)
+	var next atomic.Int64
+	var running sync.WaitGroup
+	b.ResetTimer()
+	for range proposers {
+		running.Go(func() {
+			for i := next.Add(1); i <= int64(b.N); i = next.Add(1) {
+				began := time.Now()
+				if _, err := leader.Propose(context.Background(), command); err != nil {
+					b.Error(err)
+				}
+				latencies[i-1] = time.Since(began)
+			}
+		})
+	}
+	running.Wait()
+	b.StopTimer()
+	slices.Sort(latencies)
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "proposals/s")
+	b.ReportMetric(quantile(latencies, 0.5), "p50-ms")
+	b.ReportMetric(quantile(latencies, 0.99), "p99-ms")
+}
+
+func BenchmarkRecovery(b *testing.B) {
+	for _, entries := range []int{1_000, 10_000, 100_000} {
+		b.Run(fmt.Sprintf("entries=%d", entries), func(b *testing.B) {
+			address := netip.MustParseAddrPort("127.0.0.1:9")
+			settings := store.Settings{
+				Name: "a", DataFolder: b.TempDir(), Members: []store.Member{{Name: "a", Address: address}},
+			}
+			open := func() *store.Store {
+				opened, err := store.OpenOver(settings, &discard{}, port{newNetwork(), address}, store.WithSnapshotBytes(math.MaxInt64/4))
+				if err != nil {
+					b.Fatal(err)
+				}
+				return opened
+			}
+			fillStore(b, open(), entries)
+			b.ResetTimer()
+			for b.Loop() {
+				opened := open()
+				b.StopTimer()
+				_ = opened.Close()
+				b.StartTimer()
+			}
+		})
+	}
+}
+
+func fillStore(b *testing.B, opened *store.Store, entries int) {
+	b.Helper()
+	leader := awaitLeader(b, []*process{{Store: opened}})
+	var running sync.WaitGroup
+	var next atomic.Int64
+	for range 1024 {
+		running.Go(func() {
+			for next.Add(1) <= int64(entries) {
+				if _, err := leader.Propose(context.Background(), make([]byte, benchCommandBytes)); err != nil {
+					b.Error(err)
+				}
+			}
+		})
+	}
+	running.Wait()
+	if err := opened.Close(); err != nil {
+		b.Fatal(err)
+	}
+}
+
+// BenchmarkFailover measures from the loss of the leader until another takes proposals.
+func BenchmarkFailover(b *testing.B) {
+	for _, planned := range []bool{false, true} {
+		b.Run(fmt.Sprintf("planned=%t", planned), func(b *testing.B) {
+			var took []time.Duration
+			for range b.N {
+				processes := startProcesses(b, 3)
+				leader := awaitLeader(b, processes)
+				for voting := false; !voting; time.Sleep(time.Millisecond) {
+					voting = !slices.ContainsFunc(leader.Status().Members, func(m replica.MemberStatus) bool {
+						return m.Role != replica.Voter
+					})
+				}
+				others := slices.DeleteFunc(slices.Clone(processes), func(p *process) bool { return p == leader })
+				began := time.Now()
+				if planned {
+					if err := leader.Transfer(context.Background()); err != nil {
+						b.Fatal(err)
+					}
+				}
+				leader.stop()
+				awaitLeader(b, others)
+				took = append(took, time.Since(began))
+			}
+			slices.Sort(took)
+			b.ReportMetric(quantile(took, 0.5), "p50-ms")
+			b.ReportMetric(quantile(took, 1), "max-ms")
+		})
+	}
+}
