--- a/internal/control/process_test.go
+++ b/internal/control/process_test.go
@@ -33,7 +33,7 @@
 
 // processes are three control instances that reach each other through relays.
 type processes struct {
-	t        *testing.T
+	t        testing.TB
 	binary   string
 	all      []*process
 	client   *operator.Client
@@ -41,7 +41,7 @@
 	revision uint64
 }
 
-func reserve(t *testing.T) (net.Listener, netip.AddrPort) {
+func reserve(t testing.TB) (net.Listener, netip.AddrPort) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -50,14 +50,14 @@
 	return listener, netip.MustParseAddrPort(listener.Addr().String())
 }
 
-func freeAddress(t *testing.T) netip.AddrPort {
+func freeAddress(t testing.TB) netip.AddrPort {
 	t.Helper()
 	listener, address := reserve(t)
 	_ = listener.Close()
 	return address
 }
 
-func startThree(t *testing.T) *processes {
+func startThree(t testing.TB) *processes {
 	t.Helper()
 	p := &processes{t: t, binary: filepath.Join(t.TempDir(), "sapphirespread")}
 	if out, err := exec.Command("go", "build", "-o", p.binary, "sapphirespread.example").CombinedOutput(); err != nil {
--- a/internal/store/bench_test.go
+++ b/internal/store/bench_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -217,3 +218,24 @@
 		})
 	}
 }
+
+// BenchmarkIdle measures the processor time of three stores that only exchange heartbeats.
+func BenchmarkIdle(b *testing.B) {
+	const settled, measured = 2 * time.Second, 10 * time.Second
+	awaitLeader(b, startProcesses(b, 3))
+	for range b.N {
+		time.Sleep(settled)
+		before := processorTime(b)
+		time.Sleep(measured)
+		b.ReportMetric(float64((processorTime(b)-before).Milliseconds())/measured.Seconds()/3, "cpu-ms/s/store")
+	}
+}
+
+func processorTime(b *testing.B) time.Duration {
+	b.Helper()
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
