--- a/internal/store/failure_test.go
+++ b/internal/store/failure_test.go
@@ -227,3 +227,24 @@
 		}
 	})
 }
+
+func TestSlowSnapshotKeepsTheLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, store.WithSnapshotBytes(1024))
+		commands := c.proposeNumbered(nil, 1)
+		c.waitForVoters()
+		leader := c.leader()
+		term := leader.Term()
+		leader.Read(func() { leader.words.delay = 5 * time.Second })
+		began := time.Now()
+		commands = c.proposeNumbered(commands, 50)
+		if took := time.Since(began); took < 5*time.Second {
+			t.Fatalf("no snapshot was taken within %s", took)
+		}
+		if leader.Term() != term || !leader.Lease(time.Now()) {
+			t.Errorf("term %d after %d, lease %t", leader.Term(), term, leader.Lease(time.Now()))
+		}
+		c.waitForAll(commands...)
+		c.stop()
+	})
+}
--- a/internal/store/loop.go
+++ b/internal/store/loop.go
@@ -27,7 +27,7 @@
 	s.view.Store(&view{term: s.view.Load().term, applied: s.view.Load().applied})
 	s.notify()
 	s.waiting.failAll(ErrUnavailable)
-	s.snapshots.wait()
+	s.finishSnapshot()
 }
 
 func (s *Store) takeEvent(ctx context.Context) {
@@ -41,8 +41,10 @@
 		reply <- s.status()
 	case reply := <-s.transfers:
 		reply <- s.replica.Transfer(time.Now())
+	case <-s.snapshots.taken:
+		s.replica.PauseApply(false)
 	case written := <-s.snapshots.written:
-		s.snapshots.arrived(written)
+		s.snapshotArrived(written)
 	case <-s.beat.C:
 		s.takeMessages()
 		s.replica.Tick(time.Now())
--- a/internal/store/snapshotter.go
+++ b/internal/store/snapshotter.go
@@ -12,6 +12,8 @@
 
 // snapshotter writes one snapshot at a time beside the loop.
 type snapshotter struct {
+	// taken receives once the machine's state has been read.
+	taken   chan struct{}
 	written chan writtenSnapshot
 	writing bool
 	ready   *writtenSnapshot
@@ -28,7 +30,7 @@
 }
 
 func newSnapshotter() snapshotter {
-	return snapshotter{written: make(chan writtenSnapshot, 1)}
+	return snapshotter{taken: make(chan struct{}, 1), written: make(chan writtenSnapshot, 1)}
 }
 
 func (s *snapshotter) arrived(written writtenSnapshot) {
@@ -36,12 +38,6 @@
 	s.ready = &written
 }
 
-func (s *snapshotter) wait() {
-	if s.writing {
-		s.arrived(<-s.written)
-	}
-}
-
 // compact puts a written snapshot in force, or starts to write one where the log has grown long.
 func (s *Store) compact() error {
 	if written := s.snapshots.ready; written != nil {
@@ -52,22 +48,47 @@
 	if s.snapshots.writing || length < max(s.snapshotBytes, s.snapshots.retryAt, 2*s.disk.snapshot) {
 		return nil
 	}
-	return s.startSnapshot()
+	s.startSnapshot()
+	return nil
 }
 
-func (s *Store) startSnapshot() error {
+// startSnapshot reads and writes the state beside the loop; commands wait to be applied while it is read.
+func (s *Store) startSnapshot() {
 	snapshot, ok := s.replica.AppliedSnapshot()
 	if !ok {
-		return nil
+		return
 	}
+	s.snapshots.writing = true
+	s.replica.PauseApply(true)
+	go func() { s.snapshots.written <- s.takeSnapshot(snapshot) }()
+}
+
+func (s *Store) takeSnapshot(snapshot replica.Snapshot) writtenSnapshot {
+	s.machineLock.RLock()
 	body, err := s.machine.Snapshot()
+	s.machineLock.RUnlock()
+	s.snapshots.taken <- struct{}{}
 	if err != nil {
-		return fmt.Errorf("taking snapshot %d: %w", snapshot.Index, err)
+		return writtenSnapshot{err: fmt.Errorf("taking snapshot %d: %w", snapshot.Index, err)}
 	}
 	snapshot.Body = body
-	s.snapshots.writing = true
-	go func() { s.snapshots.written <- s.write(snapshot) }()
-	return nil
+	return s.write(snapshot)
+}
+
+// finishSnapshot waits for a snapshot that is being taken or written.
+func (s *Store) finishSnapshot() {
+	if s.snapshots.writing {
+		s.snapshotArrived(<-s.snapshots.written)
+	}
+}
+
+func (s *Store) snapshotArrived(written writtenSnapshot) {
+	s.snapshots.arrived(written)
+	select {
+	case <-s.snapshots.taken:
+	default:
+	}
+	s.replica.PauseApply(false)
 }
 
 func (s *Store) write(snapshot replica.Snapshot) writtenSnapshot {
@@ -101,7 +122,7 @@
 
 // install replaces the state by a leader's snapshot; one being written here is dropped.
 func (s *Store) install(snapshot replica.Snapshot) error {
-	s.snapshots.wait()
+	s.finishSnapshot()
 	s.snapshots.ready = nil
 	written := s.write(snapshot)
 	if written.err != nil {
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -18,8 +18,9 @@
 
 // words is a machine that keeps all commands in order.
 type words struct {
-	list []string
-	at   []time.Time
+	list  []string
+	at    []time.Time
+	delay time.Duration
 }
 
 func (w *words) Apply(at time.Time, _ uint64, command []byte) []byte {
@@ -29,6 +30,7 @@
 }
 
 func (w *words) Snapshot() ([]byte, error) {
+	time.Sleep(w.delay)
 	return []byte(strings.Join(w.list, " ")), nil
 }
 
--- a/replica/advance.go
+++ b/replica/advance.go
@@ -1,6 +1,9 @@
 package replica
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const maxCommittedBytes = 4 << 20
 
@@ -10,11 +13,13 @@
 		r.replicateAll()
 	}
 	ready := Ready{
-		Prompt:    r.prompt,
-		Snapshot:  r.installed,
-		Entries:   r.log.from(r.stable+1, r.log.last(), int(^uint(0)>>1)),
-		Messages:  r.messages,
-		Committed: r.log.from(r.applied+1, min(r.commit, r.stable), maxCommittedBytes),
+		Prompt:   r.prompt,
+		Snapshot: r.installed,
+		Entries:  r.log.from(r.stable+1, r.log.last(), math.MaxInt),
+		Messages: r.messages,
+	}
+	if !r.applyPaused {
+		ready.Committed = r.log.from(r.applied+1, min(r.commit, r.stable), maxCommittedBytes)
 	}
 	if r.hard != r.hardSaved {
 		hard := r.hard
@@ -27,6 +32,11 @@
 	return ready
 }
 
+// PauseApply keeps committed entries back while the state machine is read at length; all else goes on.
+func (r *Replica) PauseApply(paused bool) {
+	r.applyPaused = paused
+}
+
 // Advance tells that all of a Ready has been done; there must have been no Step, Tick or Propose since.
 func (r *Replica) Advance(now time.Time, ready Ready) {
 	if ready.HardState != nil {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -24,17 +24,17 @@
 	applied uint64
 
 	// heardAt is when a leader was last heard from, or the start.
-	heardAt      time.Time
-	electionAt   time.Time
-	announceAt   time.Time
-	votes        map[ID]bool
-	announced    map[string]ID
-	transferVote bool
-	installing   *incoming
-	installed    *Snapshot
-	leading      *leadership
-	prompt       []Outbound
-	messages     []Outbound
+	heardAt     time.Time
+	electionAt  time.Time
+	announceAt  time.Time
+	votes       map[ID]bool
+	announced   map[string]ID
+	applyPaused bool
+	installing  *incoming
+	installed   *Snapshot
+	leading     *leadership
+	prompt      []Outbound
+	messages    []Outbound
 }
 
 // New returns a replica that goes on from what its disk holds, or ErrInvalid where that has gaps.
