--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -16,6 +16,7 @@
 // A call is one request at one hop of its whole request.
 type call struct {
 	id             uint64
+	admissionID    uint64
 	wholeID        string
 	workspace      string
 	share          float64
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -246,7 +246,8 @@
 	return addressOf(d.listeners.Peers)
 }
 
-func (d *Daemon) operatorsAddress() netip.AddrPort {
+// OperatorsAddress returns where operators are served.
+func (d *Daemon) OperatorsAddress() netip.AddrPort {
 	return addressOf(d.listeners.Operators)
 }
 
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"net/netip"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -34,6 +33,9 @@
 	revision uint64
 	logs     *lockedBuffer
 	served   *daemon.Daemon
+
+	stopControlRun context.CancelFunc
+	controlEnded   chan error
 }
 
 // A backendServer is one instance: a backend server with its daemon.
@@ -44,7 +46,7 @@
 	ended   chan error
 	handler http.HandlerFunc
 	server  *http.Server
-	leave   chan struct{}
+	leave   context.CancelFunc
 }
 
 func listen(t testing.TB) net.Listener {
@@ -77,11 +79,17 @@
 	f.control = control.New(s,
 		control.WithListeners(control.Listeners{Peers: peers, Operators: listen(t)}),
 		control.WithLogger(zerolog.New(f.logs)))
-	f.run(f.control.Run)
+	f.stopControlRun, f.controlEnded = f.run(f.control.Run)
 	<-f.control.Opened()
 	return f
 }
 
+// stopControl stops the control instance.
+func (f *fleet) stopControl() {
+	f.stopControlRun()
+	f.controlEnded <- <-f.controlEnded
+}
+
 // run runs a process until the end of the test.
 func (f *fleet) run(process func(context.Context) error) (context.CancelFunc, chan error) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -164,7 +172,7 @@
 // backend starts a backend server of service with its daemon.
 func (f *fleet) backend(name, service string, handler http.HandlerFunc) *backendServer {
 	f.t.Helper()
-	b := &backendServer{name: name, handler: handler, leave: make(chan struct{})}
+	b := &backendServer{name: name, handler: handler}
 	b.daemon, b.stop, b.ended = f.daemon(name)
 	f.served = b.daemon
 	listener := listen(f.t)
@@ -172,15 +180,16 @@
 	go func() { _ = b.server.Serve(listener) }()
 	f.t.Cleanup(func() { _ = b.server.Close() })
 	b.announce(f, service, addressOf(listener), "ready")
-	var stopOnce sync.Once
-	f.t.Cleanup(func() { stopOnce.Do(func() { close(b.leave) }) })
-	go b.keepAnnouncing(f, service, addressOf(listener))
+	ctx, leave := context.WithCancel(context.Background())
+	b.leave = leave
+	f.t.Cleanup(leave)
+	go b.keepAnnouncing(ctx, f, service, addressOf(listener))
 	return b
 }
 
 func (b *backendServer) announce(f *fleet, service string, address netip.AddrPort, state string) {
 	body, _ := json.Marshal(map[string]any{
-		"name": b.name, "service": service, "address": address, "slots": 8, "state": state,
+		"name": b.name, "service": service, "address": address, "slots": 64, "state": state,
 	})
 	request, _ := http.NewRequest(http.MethodPut, "http://"+b.daemon.SubcallsAddress().String()+"/announce/v1/target", strings.NewReader(string(body)))
 	response, err := http.DefaultClient.Do(request)
@@ -194,10 +203,10 @@
 	}
 }
 
-func (b *backendServer) keepAnnouncing(f *fleet, service string, address netip.AddrPort) {
+func (b *backendServer) keepAnnouncing(ctx context.Context, f *fleet, service string, address netip.AddrPort) {
 	for {
 		select {
-		case <-b.leave:
+		case <-ctx.Done():
 			return
 		case <-time.After(500 * time.Millisecond):
 			b.announce(f, service, address, "ready")
--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -33,8 +33,8 @@
 		return refusalOf(v)
 	case <-ctx.Done():
 	}
-	if g.cancel(c.id, verdict) {
-		g.leave(c.id, priority.Result{Failed: true})
+	if g.cancel(c.admissionID, verdict) {
+		g.leave(c.admissionID, priority.Result{Failed: true})
 	}
 	if time.Now().Before(c.deadline) {
 		return refuse(refusal.Cancelled, "the caller left before the request ran")
@@ -53,9 +53,9 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.waiting[c.id] = verdict
+	g.waiting[c.admissionID] = verdict
 	g.deliver(now, g.admission.Offer(now, priority.Request{
-		ID:        c.id,
+		ID:        c.admissionID,
 		WholeHash: c.wholeHash(),
 		Priority:  c.priority,
 		Workspace: c.workspace,
--- a/internal/daemon/linkgrants.go
+++ b/internal/daemon/linkgrants.go
@@ -61,7 +61,7 @@
 			d.tokenWait.serve(now, grant.Workspace)
 			continue
 		}
-		if grant.RetryAfter > maxTokenWait {
+		if grant.RetryAfter > 0 {
 			d.tokenWait.refuseAll(grant.Workspace)
 		}
 	}
--- a/internal/daemon/linksession.go
+++ b/internal/daemon/linksession.go
@@ -85,7 +85,7 @@
 		Incarnation:       d.incarnation,
 		FailureDomain:     d.settings.FailureDomain,
 		PeerAddress:       d.peerAddress().String(),
-		OperatorsAddress:  d.operatorsAddress().String(),
+		OperatorsAddress:  d.OperatorsAddress().String(),
 		Revision:          d.view.Revision(),
 		MembershipEpoch:   epoch,
 		MembershipVersion: version,
--- a/internal/daemon/local.go
+++ b/internal/daemon/local.go
@@ -27,6 +27,8 @@
 	if refused := d.checkBeforeRun(c); refused != nil {
 		return nil, run.refuse(refused)
 	}
+	// Callers' daemons number their calls each for itself.
+	c.admissionID = d.nextCallID()
 	if refused := d.gate.enter(ctx, c); refused != nil {
 		return nil, run.refuse(refused)
 	}
@@ -274,7 +276,7 @@
 		r.watched.end(!early && crashed == "")
 	}
 	serviceTime := time.Since(r.admittedAt)
-	r.daemon.gate.leave(r.call.id, priority.Result{Latency: serviceTime, Failed: early || crashed != ""})
+	r.daemon.gate.leave(r.call.admissionID, priority.Result{Latency: serviceTime, Failed: early || crashed != ""})
 	r.done(r.daemon.reportOf(r.call, serviceTime, crashed))
 }
 
--- a/internal/daemon/path_test.go
+++ b/internal/daemon/path_test.go
@@ -239,13 +239,17 @@
 		return ask(one, http.MethodGet, "/courts/1", "federation", "").status == http.StatusOK &&
 			ask(two, http.MethodGet, "/courts/1", "federation", "").status == http.StatusOK
 	})
-	var answered, refused int
-	for i := range 12 {
+	replies := make(chan reply, 12)
+	for i := range cap(replies) {
 		d := one
 		if i%2 == 1 {
 			d = two
 		}
-		switch got := ask(d, http.MethodGet, "/courts/1", "club", ""); {
+		go func() { replies <- ask(d, http.MethodGet, "/courts/1", "club", "") }()
+	}
+	var answered, refused int
+	for range cap(replies) {
+		switch got := <-replies; {
 		case got.status == http.StatusOK:
 			answered++
 		case got.refusal() == "rate-exceeded" && got.header.Get("Retry-After") != "":
--- /dev/null
+++ b/internal/daemon/promise_test.go
@@ -0,0 +1,201 @@
+package daemon_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+)
+
+func TestWithdrawnKeyStopsOnAnOpenConnection(t *testing.T) {
+	f := newFleet(t)
+	set := baseSet()
+	f.publish(set)
+	served := f.backend("courts-1", "courts", func(http.ResponseWriter, *http.Request) {})
+	f.eventually("an answer", func() bool {
+		return ask(served.daemon, http.MethodGet, "/courts/1", "club", "").status == http.StatusOK
+	})
+	conn, err := net.Dial("tcp", served.daemon.CallersAddress().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	refusal := func() string {
+		_, _ = fmt.Fprintf(conn, "GET /courts/1 HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n\r\n", secretOf("club"))
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		return response.Header.Get("Sapphirespread-Refusal")
+	}
+	if got := refusal(); got != "" {
+		t.Fatalf("before: %s", got)
+	}
+	set.Keys[0].Withdrawn = true
+	f.publish(set)
+	f.eventually("the key stops", func() bool { return refusal() == "key-withdrawn" })
+	if got := refusal(); got != "key-withdrawn" {
+		t.Errorf("the withdrawn key came back: %q", got)
+	}
+}
+
+func TestKeyedRequestsStopWithoutConfirmation(t *testing.T) {
+	f := newFleet(t)
+	f.publish(baseSet())
+	served := f.backend("courts-1", "courts", func(http.ResponseWriter, *http.Request) {})
+	f.eventually("an answer", func() bool {
+		return ask(served.daemon, http.MethodGet, "/courts/1", "club", "").status == http.StatusOK
+	})
+	f.stopControl()
+	f.eventually("keyed requests stop", func() bool {
+		return ask(served.daemon, http.MethodGet, "/courts/1", "club", "").refusal() == "configuration-stale"
+	})
+	if got := ask(served.daemon, http.MethodGet, "/open/1", "", ""); got.status != http.StatusOK {
+		t.Errorf("open route: %d %s", got.status, got.body)
+	}
+}
+
+func TestCrashingRequestIsQuarantinedAfterTwoBackendServers(t *testing.T) {
+	f := newFleet(t)
+	f.publish(baseSet())
+	var crashes atomic.Int64
+	names := []string{"courts-1", "courts-2", "courts-3", "courts-4"}
+	for _, name := range names {
+		var own *backendServer
+		own = f.backend(name, "courts", func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path != "/courts/poison" {
+				_, _ = io.WriteString(w, "fine")
+				return
+			}
+			crashes.Add(1)
+			own.leave()
+			_ = own.server.Close()
+		})
+	}
+	var entries []*backendServer
+	for _, name := range []string{"one", "two", "three"} {
+		d, _, _ := f.daemon(name)
+		entries = append(entries, &backendServer{daemon: d})
+	}
+	for _, entry := range entries {
+		f.eventually("an answer", func() bool {
+			return ask(entry.daemon, http.MethodGet, "/courts/fine", "club", "").status == http.StatusOK
+		})
+	}
+	for attempt := range 12 {
+		got := ask(entries[attempt%len(entries)].daemon, http.MethodGet, "/courts/poison", "club", "")
+		if got.status == http.StatusOK {
+			t.Fatalf("attempt %d: %d %s", attempt, got.status, got.body)
+		}
+	}
+	if lost := crashes.Load(); lost > 2 || lost == 0 {
+		t.Errorf("%d backend servers crashed by one request", lost)
+	}
+	got := ask(entries[0].daemon, http.MethodGet, "/courts/poison", "club", "")
+	if got.refusal() != "quarantined" || got.header.Get("Sapphirespread-Run-State") != "not-run" {
+		t.Errorf("after the crashes: %d %s", got.status, got.body)
+	}
+	for _, entry := range entries {
+		f.eventually("others are served", func() bool {
+			return ask(entry.daemon, http.MethodGet, "/courts/fine", "club", "").status == http.StatusOK
+		})
+	}
+}
+
+func TestPlannedStopCutsNoRequest(t *testing.T) {
+	f := newFleet(t)
+	f.publish(baseSet())
+	release := make(chan struct{})
+	var started atomic.Int64
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/courts/long" {
+			started.Add(1)
+			<-release
+		}
+		_, _ = io.WriteString(w, "whole")
+	}
+	leaving := f.backend("courts-1", "courts", handler)
+	entry, _, _ := f.daemon("entry")
+	f.eventually("an answer", func() bool {
+		return ask(entry, http.MethodGet, "/courts/1", "club", "").status == http.StatusOK
+	})
+	answers := make(chan reply, 6)
+	for range 3 {
+		go func() { answers <- ask(entry, http.MethodGet, "/courts/long", "club", "") }()
+		go func() { answers <- ask(leaving.daemon, http.MethodGet, "/courts/long", "club", "") }()
+	}
+	f.eventually("six runs", func() bool {
+		if len(answers) > 0 {
+			t.Fatalf("ended early with %d started: %+v", started.Load(), <-answers)
+		}
+		return started.Load() == 6
+	})
+	f.backend("courts-2", "courts", handler)
+	leaving.stop()
+	f.eventually("the stopping daemon refuses", func() bool {
+		got := ask(leaving.daemon, http.MethodGet, "/courts/1", "club", "")
+		return got.refusal() == "draining" && got.header.Get("Sapphirespread-Run-State") == "not-run"
+	})
+	for range 20 {
+		if got := ask(entry, http.MethodGet, "/courts/1", "club", ""); got.status != http.StatusOK {
+			t.Errorf("during the stop: %d %s", got.status, got.body)
+		}
+	}
+	close(release)
+	for range 6 {
+		if got := <-answers; got.status != http.StatusOK || got.body != "whole" {
+			t.Errorf("in flight: %d %q %v", got.status, got.body, got.err)
+		}
+	}
+	if err := <-leaving.ended; err != nil {
+		t.Errorf("Run: %v", err)
+	}
+	leaving.ended <- nil
+}
+
+func TestExtraAttemptsAreBoundedAcrossTheTree(t *testing.T) {
+	f := newFleet(t)
+	set := baseSet()
+	set.Routes[0].ExtraAttempts = 3
+	for i := range set.Services {
+		set.Services[i].MinimumRetriesPerSecond = 1000
+	}
+	f.publish(set)
+	var leaf atomic.Int64
+	fail := func(http.ResponseWriter, *http.Request) {
+		leaf.Add(1)
+		panic(http.ErrAbortHandler)
+	}
+	f.backend("charges-1", "charges", fail)
+	f.backend("charges-2", "charges", fail)
+	set.Routes = append(set.Routes, set.Routes[0])
+	set.Routes[len(set.Routes)-1].Name = "readings"
+	set.Routes[len(set.Routes)-1].Path = "/readings/*"
+	set.Routes[len(set.Routes)-1].Service = "charges"
+	f.publish(set)
+	var top atomic.Int64
+	var own *backendServer
+	own = f.backend("courts-1", "courts", func(_ http.ResponseWriter, r *http.Request) {
+		top.Add(1)
+		sub, _ := http.NewRequestWithContext(r.Context(), http.MethodGet, "http://"+own.daemon.SubcallsAddress().String()+"/readings/1", nil)
+		sub.Header.Set("Sapphirespread-Call-Token", r.Header.Get("Sapphirespread-Call-Token"))
+		send(sub)
+		panic(http.ErrAbortHandler)
+	})
+	f.eventually("a run", func() bool {
+		ask(own.daemon, http.MethodGet, "/courts/1", "club", "")
+		return leaf.Load() > 0
+	})
+	top.Store(0)
+	leaf.Store(0)
+	ask(own.daemon, http.MethodGet, "/courts/1", "club", "")
+	const allowance = 3
+	if extra := top.Load() - 1 + leaf.Load() - top.Load(); extra > allowance {
+		t.Errorf("%d extra attempts (%d at the top, %d at the leaf), allowance %d", extra, top.Load(), leaf.Load(), allowance)
+	}
+}
--- a/internal/daemon/tokenwait.go
+++ b/internal/daemon/tokenwait.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	maxTokenWait       = 500 * time.Millisecond
-	maxWaitersAHolder  = 1024
-	tokensACall        = 1
-	tokenWaitShareOfMs = 2
+	maxTokenWait      = 3 * time.Second
+	maxWaitersAHolder = 1024
+	tokensACall       = 1
+	deadlineParts     = 2
 )
 
 // A tokenWait spends the rate of workspaces, and makes calls wait in order for grants.
@@ -60,7 +60,7 @@
 	if !bounded {
 		return maxTokenWait
 	}
-	return min(time.Until(deadline)/tokenWaitShareOfMs, maxTokenWait)
+	return min(time.Until(deadline)/deadlineParts, maxTokenWait)
 }
 
 func (t *tokenWait) refuse(workspace, detail string) *attemptError {
@@ -131,7 +131,7 @@
 	}
 }
 
-// refuseAll refuses the calls that wait, as no token can come within their wait.
+// refuseAll refuses the calls that wait, as the owner of the rate has no token for them in time.
 func (t *tokenWait) refuseAll(workspace string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
