--- a/internal/cmd/root.go
+++ b/internal/cmd/root.go
@@ -34,6 +34,8 @@
 	newMembersCommand,
 	newStatusCommand,
 	newTimelineCommand,
+	newDaemonCommand,
+	newControlCommand,
 	func(*app) *cli.Command { return standinCommand() },
 }
 
