Apply a change without encoding the whole set again

Each publish and each delta encoded and decoded every object. Sets are now compared object by object, kinds that no change names are shared, and the registry keeps its size. Boxing each route once in a check saved the rest.

--- a/configuration/check.go
+++ b/configuration/check.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // Check returns Problems that name every broken reference, contradiction and value out of range, or nil.
@@ -39,19 +40,19 @@
 
 func newChecker(s Set) *checker {
 	c := &checker{
-		known:  map[objectID]bool{},
-		seen:   map[objectID]bool{},
+		known:  make(map[objectID]bool, s.count()),
+		seen:   make(map[objectID]bool, s.count()),
 		hashes: map[string]string{},
 		levels: map[int]string{},
 	}
 	for _, o := range s.Objects() {
-		c.known[objectID{o.ObjectKind(), o.ObjectName()}] = true
+		c.known[idOf(o)] = true
 	}
 	return c
 }
 
 func (c *checker) name(o Object) {
-	id := objectID{o.ObjectKind(), o.ObjectName()}
+	id := idOf(o)
 	whole := id.kind.table() + "." + id.name
 	if !ValidName(id.name) {
 		c.report(whole, strconv.Quote(id.name), expectedName)
@@ -81,8 +82,13 @@
 	if ok {
 		return
 	}
-	if text, isText := found.(string); isText {
-		found = strconv.Quote(text)
+	switch value := found.(type) {
+	case string:
+		found = strconv.Quote(value)
+	case time.Duration:
+		found = strconv.Quote(value.String())
+	case []string:
+		found = strconv.Quote(strings.Join(value, ", "))
 	}
 	c.report(label(o, field), fmt.Sprint(found), expected)
 }
@@ -107,6 +113,9 @@
 }
 
 func hasDuplicate(values []string) bool {
+	if len(values) < 2 {
+		return false
+	}
 	sorted := slices.Sorted(slices.Values(values))
 	return len(slices.Compact(sorted)) < len(values)
 }
--- a/configuration/checkobject.go
+++ b/configuration/checkobject.go
@@ -28,65 +28,71 @@
 )
 
 func (c *checker) workspace(w Workspace) {
-	c.reference(w, "limit", KindLimit, w.Limit)
-	c.expect(inRange(w.Share, math.SmallestNonzeroFloat64, maxShare), w, "share", w.Share, "a number above 0, at most 1000")
+	o := Object(w)
+	c.reference(o, "limit", KindLimit, w.Limit)
+	c.expect(inRange(w.Share, math.SmallestNonzeroFloat64, maxShare), o, "share", w.Share, "a number above 0, at most 1000")
 }
 
 func (c *checker) key(k Key) {
-	c.reference(k, "workspace", KindWorkspace, k.Workspace)
+	o := Object(k)
+	c.reference(o, "workspace", KindWorkspace, k.Workspace)
 	_, ok := key.ParseHash(k.Hash)
-	c.expect(ok, k, "hash", k.Hash, `"sha256:" and 64 lower-case hexadecimal digits, as key create writes it`)
+	c.expect(ok, o, "hash", k.Hash, `"sha256:" and 64 lower-case hexadecimal digits, as key create writes it`)
 	if other, taken := c.hashes[k.Hash]; ok && taken {
-		c.expect(false, k, "hash", k.Hash, "a hash other than that of keys."+other)
+		c.expect(false, o, "hash", k.Hash, "a hash other than that of keys."+other)
 	}
 	c.hashes[k.Hash] = k.Name
 }
 
 func (c *checker) service(s Service) {
-	c.expect(inRange(s.RetryBudget, 0, maxRetryBudget), s, "retry-budget", s.RetryBudget, "a number from 0 to 1")
+	o := Object(s)
+	c.expect(inRange(s.RetryBudget, 0, maxRetryBudget), o, "retry-budget", s.RetryBudget, "a number from 0 to 1")
 	floor := s.MinimumRetriesPerSecond
-	c.expect(inRange(floor, 0, maxRetriesFloor), s, "minimum-retries-per-second", floor, "a number from 0 to 1000")
+	c.expect(inRange(floor, 0, maxRetriesFloor), o, "minimum-retries-per-second", floor, "a number from 0 to 1000")
 }
 
 func (c *checker) priority(p Priority) {
+	o := Object(p)
 	if p.Level == noLevel {
-		c.missing(p, "level", "a whole number from 0 (shed last) to 31")
+		c.missing(o, "level", "a whole number from 0 (shed last) to 31")
 		return
 	}
-	c.expect(p.Level >= 0 && p.Level <= maxLevel, p, "level", p.Level, "a whole number from 0 (shed last) to 31")
+	c.expect(p.Level >= 0 && p.Level <= maxLevel, o, "level", p.Level, "a whole number from 0 (shed last) to 31")
 	if other, taken := c.levels[p.Level]; taken && other != p.Name {
-		c.expect(false, p, "level", p.Level, "a level other than that of priorities."+other)
+		c.expect(false, o, "level", p.Level, "a level other than that of priorities."+other)
 	}
 	c.levels[p.Level] = p.Name
 }
 
 func (c *checker) limit(l Limit) {
-	c.expect(inRange(l.Rate, math.SmallestNonzeroFloat64, maxRate), l, "rate", l.Rate, "requests per second above 0, at most 10000000")
-	c.expect(l.Burst >= 1 && l.Burst <= maxBurst, l, "burst", l.Burst, "a whole number of requests from 1 to 10000000")
+	o := Object(l)
+	c.expect(inRange(l.Rate, math.SmallestNonzeroFloat64, maxRate), o, "rate", l.Rate, "requests per second above 0, at most 10000000")
+	c.expect(l.Burst >= 1 && l.Burst <= maxBurst, o, "burst", l.Burst, "a whole number of requests from 1 to 10000000")
 }
 
 func (c *checker) route(r Route) {
-	c.reference(r, "service", KindService, r.Service)
-	c.reference(r, "priority", KindPriority, r.Priority)
+	o := Object(r)
+	c.reference(o, "service", KindService, r.Service)
+	c.reference(o, "priority", KindPriority, r.Priority)
 	for _, name := range r.Workspaces {
-		c.reference(r, "workspaces", KindWorkspace, name)
+		c.reference(o, "workspaces", KindWorkspace, name)
 	}
-	c.expect(!hasDuplicate(r.Workspaces), r, "workspaces", strings.Join(r.Workspaces, ", "), "each workspace once")
-	c.requests(r)
-	c.expect(r.Deadline > 0 && r.Deadline <= maxDeadline, r, "deadline", r.Deadline.String(), `a duration above 0, at most "10m"`)
-	c.expect(r.ExtraAttempts >= 0 && r.ExtraAttempts <= maxExtraAttempts, r, "extra-attempts", r.ExtraAttempts, "a whole number from 0 to 10")
-	c.expect(!r.Open || r.Repeatable, r, "open", r.Open, "repeatable = true beside it: claims need a workspace, and an open route has none")
-	c.expect(!r.Open || len(r.Workspaces) == 0, r, "workspaces", strings.Join(r.Workspaces, ", "), "no workspaces on an open route")
+	c.expect(!hasDuplicate(r.Workspaces), o, "workspaces", r.Workspaces, "each workspace once")
+	c.requests(o, r)
+	c.expect(r.Deadline > 0 && r.Deadline <= maxDeadline, o, "deadline", r.Deadline, `a duration above 0, at most "10m"`)
+	c.expect(r.ExtraAttempts >= 0 && r.ExtraAttempts <= maxExtraAttempts, o, "extra-attempts", r.ExtraAttempts, "a whole number from 0 to 10")
+	c.expect(!r.Open || r.Repeatable, o, "open", r.Open, "repeatable = true beside it: claims need a workspace, and an open route has none")
+	c.expect(!r.Open || len(r.Workspaces) == 0, o, "workspaces", r.Workspaces, "no workspaces on an open route")
 }
 
 // requests checks which requests the route matches.
-func (c *checker) requests(r Route) {
-	c.expect(r.Host == "" || hostPattern.MatchString(r.Host), r, "host", r.Host, "a lower-case host name without a port")
-	c.expect(goodPath(r), r, "path", r.Path, `an exact path such as "/courts", or a prefix such as "/courts/*"`)
+func (c *checker) requests(o Object, r Route) {
+	c.expect(r.Host == "" || hostPattern.MatchString(r.Host), o, "host", r.Host, "a lower-case host name without a port")
+	c.expect(goodPath(r), o, "path", r.Path, `an exact path such as "/courts", or a prefix such as "/courts/*"`)
 	for _, method := range r.Methods {
-		c.expect(methodPattern.MatchString(method), r, "methods", method, "upper-case HTTP methods")
+		c.expect(methodPattern.MatchString(method), o, "methods", method, "upper-case HTTP methods")
 	}
-	c.expect(!hasDuplicate(r.Methods), r, "methods", strings.Join(r.Methods, ", "), "each method once")
+	c.expect(!hasDuplicate(r.Methods), o, "methods", r.Methods, "each method once")
 }
 
 func goodPath(r Route) bool {
--- a/configuration/load.go
+++ b/configuration/load.go
@@ -18,7 +18,7 @@
 	for _, p := range paths {
 		l.path(p)
 	}
-	set := collect(l.objects)
+	set := l.set.canonical()
 	var found Problems
 	if err := set.Check(); err != nil {
 		found = err.(Problems)
@@ -34,13 +34,13 @@
 
 type loader struct {
 	fsys     fs.FS
-	objects  map[objectID]Object
+	set      Set
 	places   map[objectID]place
 	problems Problems
 }
 
 func newLoader(fsys fs.FS) *loader {
-	return &loader{fsys: fsys, objects: map[objectID]Object{}, places: map[objectID]place{}}
+	return &loader{fsys: fsys, places: map[objectID]place{}}
 }
 
 func (l *loader) path(p string) {
@@ -92,14 +92,14 @@
 }
 
 func (l *loader) object(o Object, at place) {
-	id := objectID{o.ObjectKind(), o.ObjectName()}
+	id := idOf(o)
 	name := id.kind.table() + "." + id.name
 	if first, ok := l.places[id]; ok {
 		expected := fmt.Sprintf("one definition (the first is in %s:%d)", first.file, first.lines.Of(name))
 		l.problems = append(l.problems, Problem{at.file, at.lines.Of(name), name, "a second definition", expected})
 		return
 	}
-	l.objects[id] = o
+	l.set.add(o)
 	l.places[id] = at
 }
 
@@ -118,7 +118,7 @@
 		if unread[p.Name] {
 			continue
 		}
-		at := l.places[idOf(p.Name)]
+		at := l.places[idIn(p.Name)]
 		p.File = at.file
 		p.Line = at.lines.Of(p.Name)
 		placed = append(placed, p)
@@ -126,8 +126,8 @@
 	return placed
 }
 
-// idOf returns the object that a dotted name belongs to.
-func idOf(name string) objectID {
+// idIn returns the object that a dotted name belongs to.
+func idIn(name string) objectID {
 	table, rest, _ := strings.Cut(name, ".")
 	object, _, _ := strings.Cut(rest, ".")
 	for _, kind := range Kinds() {
--- a/configuration/object.go
+++ b/configuration/object.go
@@ -11,6 +11,16 @@
 	ObjectName() string
 }
 
+// equal reports whether two objects hold the same.
+func equal(a, b Object) bool {
+	before, isRoute := a.(Route)
+	if !isRoute {
+		return a == b
+	}
+	after, isRoute := b.(Route)
+	return isRoute && before.equal(after)
+}
+
 // label returns the dotted name of an object's field as it stands in a file.
 func label(o Object, field string) string {
 	return o.ObjectKind().table() + "." + o.ObjectName() + "." + field
--- a/configuration/publish.go
+++ b/configuration/publish.go
@@ -81,9 +81,5 @@
 	if p.Changes == nil {
 		return p.Set.Size()
 	}
-	size := int64(0)
-	for _, c := range p.Changes {
-		size += c.size()
-	}
-	return size
+	return sizeOf(p.Changes)
 }
--- a/configuration/registry.go
+++ b/configuration/registry.go
@@ -18,6 +18,7 @@
 
 	revision  uint64
 	current   Set
+	size      int64
 	revisions []revision
 	answers   answerBook
 }
@@ -69,10 +70,13 @@
 	if err != nil {
 		return r.broken(problemsOf(err))
 	}
-	if size := set.Size(); size > r.maxSize {
+	made := revision{Forward: set.Changes(r.current), Backward: r.current.Changes(set)}
+	size := r.size + sizeOf(made.Forward) - sizeOf(made.Backward)
+	if size > r.maxSize {
 		return r.tooLarge(size)
 	}
-	r.accept(at, p, set)
+	r.size = size
+	r.accept(at, p, set, made)
 	return Published{Revision: r.revision, Kind: Accepted}
 }
 
@@ -91,8 +95,7 @@
 	return p.Set.canonical(), nil
 }
 
-func (r *Registry) accept(at time.Time, p Publish, set Set) {
-	made := revision{Forward: set.Changes(r.current), Backward: r.current.Changes(set)}
+func (r *Registry) accept(at time.Time, p Publish, set Set, made revision) {
 	r.revision++
 	made.Entry = Entry{
 		Revision: r.revision,
--- a/configuration/registrystate.go
+++ b/configuration/registrystate.go
@@ -45,6 +45,7 @@
 	}
 	r.revision = state.Revision
 	r.current = current
+	r.size = current.Size()
 	r.revisions = state.Revisions
 	r.answers = answerBook{}
 	for _, kept := range state.Answers {
--- a/configuration/route.go
+++ b/configuration/route.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"reflect"
+	"slices"
 	"time"
 
 	"sapphirespread.example/route"
@@ -59,6 +61,16 @@
 	return nil
 }
 
+// equal reports whether two routes hold the same, an empty list being the same as none.
+func (r Route) equal(other Route) bool {
+	if !slices.Equal(r.Methods, other.Methods) || !slices.Equal(r.Workspaces, other.Workspaces) {
+		return false
+	}
+	r.Methods, r.Workspaces = nil, nil
+	other.Methods, other.Workspaces = nil, nil
+	return reflect.DeepEqual(r, other)
+}
+
 func (r Route) body() routeBody {
 	return routeBody{plainRoute(r), duration(r.Deadline)}
 }
--- a/configuration/set.go
+++ b/configuration/set.go
@@ -17,7 +17,7 @@
 
 // Objects returns all objects by kind and then by name.
 func (s Set) Objects() []Object {
-	var objects []Object
+	objects := make([]Object, 0, s.count())
 	objects = appendSorted(objects, s.Workspaces)
 	objects = appendSorted(objects, s.Keys)
 	objects = appendSorted(objects, s.Services)
@@ -52,21 +52,47 @@
 	}
 }
 
-func appendSorted[T Object](objects []Object, more []T) []Object {
-	sorted := slices.SortedStableFunc(slices.Values(more), func(a, b T) int {
-		return cmp.Compare(a.ObjectName(), b.ObjectName())
-	})
-	for _, o := range sorted {
-		objects = append(objects, o)
+// byID returns the objects by what names them.
+func (s Set) byID() map[objectID]Object {
+	objects := s.Objects()
+	found := make(map[objectID]Object, len(objects))
+	for _, o := range objects {
+		found[idOf(o)] = o
 	}
-	return objects
+	return found
+}
+
+// count returns the number of all objects.
+func (s Set) count() int {
+	return len(s.Workspaces) + len(s.Keys) + len(s.Services) + len(s.Priorities) + len(s.Limits) + len(s.Routes)
 }
 
 // canonical returns the set with its objects sorted by name.
 func (s Set) canonical() Set {
-	var sorted Set
-	for _, o := range s.Objects() {
-		sorted.add(o)
+	return Set{
+		Workspaces: sorted(s.Workspaces),
+		Keys:       sorted(s.Keys),
+		Services:   sorted(s.Services),
+		Priorities: sorted(s.Priorities),
+		Limits:     sorted(s.Limits),
+		Routes:     sorted(s.Routes),
+	}
+}
+
+// sorted returns the objects by name; they are the same slice where they are sorted already.
+func sorted[T Object](objects []T) []T {
+	byName := func(a, b T) int { return cmp.Compare(a.ObjectName(), b.ObjectName()) }
+	if slices.IsSortedFunc(objects, byName) {
+		return objects
+	}
+	objects = slices.Clone(objects)
+	slices.SortStableFunc(objects, byName)
+	return objects
+}
+
+func appendSorted[T Object](objects []Object, more []T) []Object {
+	for _, o := range sorted(more) {
+		objects = append(objects, o)
 	}
-	return sorted
+	return objects
 }
