--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -103,8 +103,12 @@
 	explained(t, settingsPage, "", reflect.TypeFor[settings.Daemon]())
 	explained(t, settingsPage, "", reflect.TypeFor[settings.Control]())
 	for _, object := range []configuration.Object{
-		configuration.Workspace{}, configuration.Key{}, configuration.Service{},
-		configuration.Priority{}, configuration.Limit{}, configuration.Route{},
+		configuration.Workspace{},
+		configuration.Key{},
+		configuration.Service{},
+		configuration.Priority{},
+		configuration.Limit{},
+		configuration.Route{},
 	} {
 		explained(t, objectsPage, "", reflect.TypeOf(object))
 	}
--- a/internal/cmd/root.go
+++ b/internal/cmd/root.go
@@ -36,6 +36,9 @@
 	newTimelineCommand,
 	newDaemonCommand,
 	newControlCommand,
+	newDaemonCommand,
+	newControlCommand,
+	newTimelineCommand,
 	func(*app) *cli.Command { return standinCommand() },
 }
 
