--- a/configuration/registry.go
+++ b/configuration/registry.go
@@ -14,12 +14,14 @@
 type Registry struct {
 	maxSize       int64
 	keptRevisions int
+	keptSize      int64
 	keptAnswers   int
 
 	revision  uint64
 	current   Set
 	size      int64
 	revisions []revision
+	kept      int64
 	answers   answerBook
 }
 
@@ -28,6 +30,7 @@
 	r := &Registry{
 		maxSize:       defaultMaxSize,
 		keptRevisions: defaultKeptRevisions,
+		keptSize:      defaultKeptSize,
 		keptAnswers:   defaultKeptAnswers,
 	}
 	for _, opt := range opts {
@@ -107,9 +110,18 @@
 	}
 	r.current = set
 	r.revisions = append(r.revisions, made)
-	if excess := len(r.revisions) - r.keptRevisions; excess > 0 {
-		r.revisions = slices.Delete(r.revisions, 0, excess)
+	r.kept += made.size()
+	r.dropOldest()
+}
+
+// dropOldest keeps the revisions within their bounds.
+func (r *Registry) dropOldest() {
+	excess := 0
+	for len(r.revisions)-excess > r.keptRevisions || r.kept > r.keptSize {
+		r.kept -= r.revisions[excess].size()
+		excess++
 	}
+	r.revisions = slices.Delete(r.revisions, 0, excess)
 }
 
 // Revision returns the current revision, 0 before the first publish.
--- a/configuration/registry_test.go
+++ b/configuration/registry_test.go
@@ -176,6 +176,40 @@
 	})
 }
 
+// TestKeptRevisionsAreBoundedInSize publishes sets that differ in all objects, with a restore in between.
+func TestKeptRevisionsAreBoundedInSize(t *testing.T) {
+	const bound = 50_000
+	registry := configuration.NewRegistry(configuration.WithKeptSize(bound))
+	for i := range 100 {
+		if i == 50 {
+			registry = restored(t, registry, configuration.WithKeptSize(bound))
+		}
+		set := wholeSet(50, 50, i)
+		for j := range set.Workspaces {
+			set.Workspaces[j].Share = float64(i + 1)
+		}
+		registry.Publish(start, configuration.Publish{ID: fmt.Sprint(i), Base: uint64(i), Set: set})
+	}
+	size := int64(0)
+	history := registry.History()
+	for _, entry := range history {
+		before, _ := registry.Set(entry.Revision - 1)
+		after, ok := registry.Set(entry.Revision)
+		if !ok {
+			t.Fatalf("revision %d is in the history but not kept", entry.Revision)
+		}
+		for _, c := range append(after.Changes(before), before.Changes(after)...) {
+			size += int64(len(c.Body))
+		}
+	}
+	if size > bound || size < bound*9/10 || registry.Revision() != 100 {
+		t.Errorf("%d revisions of %d bytes kept at revision %d", len(history), size, registry.Revision())
+	}
+	if _, whole := registry.Delta(1); !whole {
+		t.Error("the delta from a dropped revision is not whole")
+	}
+}
+
 func TestNewerFormatIsRefused(t *testing.T) {
 	err := configuration.NewRegistry().UnmarshalBinary([]byte(`{"format":2}`))
 	if err == nil || !strings.Contains(err.Error(), "format 2") {
--- a/configuration/registryoption.go
+++ b/configuration/registryoption.go
@@ -3,6 +3,7 @@
 const (
 	defaultMaxSize       = 4 << 20
 	defaultKeptRevisions = 4096
+	defaultKeptSize      = 64 << 20
 	defaultKeptAnswers   = 16384
 )
 
@@ -19,6 +20,11 @@
 	return func(r *Registry) { r.keptRevisions = revisions }
 }
 
+// WithKeptSize sets the bytes that the changes of all kept revisions may take; the oldest are dropped first.
+func WithKeptSize(bytes int64) RegistryOption {
+	return func(r *Registry) { r.keptSize = bytes }
+}
+
 // WithKeptAnswers sets how many of the last publication ids keep their answer.
 func WithKeptAnswers(answers int) RegistryOption {
 	return func(r *Registry) { r.keptAnswers = answers }
--- a/configuration/registrystate.go
+++ b/configuration/registrystate.go
@@ -47,6 +47,10 @@
 	r.current = current
 	r.size = current.Size()
 	r.revisions = state.Revisions
+	r.kept = 0
+	for _, made := range r.revisions {
+		r.kept += made.size()
+	}
 	r.answers = answerBook{}
 	for _, kept := range state.Answers {
 		r.answers.add(kept.ID, kept.Digest, kept.Published, r.keptAnswers)
--- a/configuration/revision.go
+++ b/configuration/revision.go
@@ -6,3 +6,6 @@
 	Forward  []Change `json:"forward"`
 	Backward []Change `json:"backward"`
 }
+
+// size returns the bytes of the objects that the changes set.
+func (r revision) size() int64 { return sizeOf(r.Forward) + sizeOf(r.Backward) }
