--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -75,6 +75,25 @@
 	return b.String()
 }
 
+// TestEveryCommandHasAnExample keeps help useful to newcomers.
+func TestEveryCommandHasAnExample(t *testing.T) {
+	for _, name := range commandsIn(help(t)) {
+		leaves := [][]string{{name}}
+		if subs := commandsIn(help(t, name)); len(subs) > 0 {
+			leaves = nil
+			for _, sub := range subs {
+				leaves = append(leaves, []string{name, sub})
+			}
+		}
+		for _, leaf := range leaves {
+			_, examples, _ := strings.Cut(help(t, leaf...), "Example")
+			if !strings.Contains(examples, "sapphirespread "+strings.Join(leaf, " ")) {
+				t.Errorf("the help of %v has no example", leaf)
+			}
+		}
+	}
+}
+
 func help(t *testing.T, command ...string) string {
 	t.Helper()
 	var stdout, stderr bytes.Buffer
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -117,25 +117,6 @@
 	}
 }
 
-func (c *checker) tls(t TLS) {
-	if !t.Enabled() {
-		return
-	}
-	c.readable("tls.cert-file", t.CertFile)
-	c.readable("tls.key-file", t.KeyFile)
-	c.readable("tls.ca-file", t.CAFile)
-}
-
-func (c *checker) readable(name, path string) {
-	if path == "" {
-		c.report(name, "nothing", "a file, since another file of the tls table is named")
-		return
-	}
-	if _, err := os.ReadFile(path); err != nil {
-		c.report(name, err.Error(), "a readable file")
-	}
-}
-
 // dataFolder reports a folder that neither is there nor can be made in its parent.
 func (c *checker) dataFolder(path string) {
 	if path == "" {
