Measure two baselines under open load

The load is open and planned from a seed, so that every system gets the same arrivals. An answer is good only where it is whole, its own and within its deadline; a refusal is wrongful where a reference token bucket at the caller's side finds the workspace within its rate and burst.

The best possible goodput is a small linear program over the routes. The simplex method of gonum was tried and ruled out: it did not end on a property test of impaired services within ten minutes. With three routes the vertices are few, so they are enumerated.

--- /dev/null
+++ b/internal/cmd/measurecmd.go
@@ -0,0 +1,127 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"sapphirespread.example/internal/deployment"
+	"sapphirespread.example/internal/measure"
+)
+
+// measureCommand compares sapphirespread with its baselines under load.
+func measureCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "measure",
+		Usage: "measure goodput, recovery, fairness and wrongful refusals beside baselines",
+		Description: "Sends the same load to each system, through real sockets on loopback, and compares four measures.\n" +
+			"Example: sapphirespread measure --scenario surge --deployment banevakt --systems none,fixed,sapphirespread --plot plots",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "scenario", Usage: "`name` of a scenario, or all: " + strings.Join(scenarioNames(), ", "), Value: []string{"surge"}},
+			&cli.StringSliceFlag{Name: "deployment", Usage: "banevakt or kite", Value: []string{"banevakt"}},
+			&cli.StringSliceFlag{Name: "systems", Usage: "none, fixed and sapphirespread, or some of them", Value: []string{"none", "fixed", "sapphirespread"}},
+			&cli.Uint64Flag{Name: "seed", Usage: "seed of the load and the service times", Value: 1},
+			&cli.FloatFlag{Name: "scale", Usage: "`share` of the slots of the real deployment", Value: 0.1},
+			&cli.DurationFlag{Name: "before", Usage: "`time` before the trigger", Value: 5 * time.Second},
+			&cli.DurationFlag{Name: "trigger", Usage: "`time` that the trigger lasts", Value: 10 * time.Second},
+			&cli.DurationFlag{Name: "after", Usage: "`time` after the trigger", Value: 8 * time.Second},
+			&cli.StringFlag{Name: "plot", Usage: "`folder` for a plot of goodput over time a scenario"},
+			&cli.StringFlag{Name: "output", Usage: "text or json", Value: "text"},
+		},
+		Action: runMeasure,
+	}
+}
+
+func runMeasure(ctx context.Context, command *cli.Command) error {
+	if err := checkMeasure(command); err != nil {
+		return cli.Exit(err.Error(), 2)
+	}
+	var results []measure.Result
+	for _, name := range command.StringSlice("deployment") {
+		for _, scenario := range chosenScenarios(command.StringSlice("scenario")) {
+			compared, err := compareSystems(ctx, command, name, scenario)
+			if err != nil {
+				return err
+			}
+			results = append(results, compared...)
+		}
+	}
+	if command.String("output") == "json" {
+		return json.NewEncoder(command.Root().Writer).Encode(results)
+	}
+	return measure.WriteText(command.Root().Writer, results)
+}
+
+// compareSystems runs one scenario against each system, one after the other, and plots them together.
+func compareSystems(ctx context.Context, command *cli.Command, name, scenario string) ([]measure.Result, error) {
+	chosen, err := measure.FindScenario(scenario)
+	if err != nil {
+		return nil, err
+	}
+	whole, err := deployment.Find(name)
+	if err != nil {
+		return nil, err
+	}
+	scale := command.Float("scale")
+	times := measure.Times{Before: command.Duration("before"), Trigger: command.Duration("trigger"), After: command.Duration("after")}
+	var results []measure.Result
+	for _, system := range command.StringSlice("systems") {
+		_, _ = fmt.Fprintf(command.Root().ErrWriter, "measure: %s, %s, %s\n", name, scenario, system)
+		result, err := measure.Run(ctx, measure.SystemName(system), chosen, whole.Scaled(scale), command.Uint64("seed"), times)
+		if err != nil {
+			return nil, err
+		}
+		result.Scale = scale
+		results = append(results, result)
+	}
+	if folder := command.String("plot"); folder != "" {
+		if _, err := measure.Plot(folder, results); err != nil {
+			return nil, err
+		}
+	}
+	return results, nil
+}
+
+func checkMeasure(command *cli.Command) error {
+	for _, scenario := range chosenScenarios(command.StringSlice("scenario")) {
+		if _, err := measure.FindScenario(scenario); err != nil {
+			return err
+		}
+	}
+	for _, name := range command.StringSlice("deployment") {
+		if _, err := deployment.Find(name); err != nil {
+			return err
+		}
+	}
+	for _, name := range command.StringSlice("systems") {
+		if _, err := measure.ParseSystemName(name); err != nil {
+			return err
+		}
+	}
+	if command.Float("scale") <= 0 {
+		return fmt.Errorf("--scale: want a number above 0")
+	}
+	if output := command.String("output"); output != "text" && output != "json" {
+		return fmt.Errorf("--output %q: want text or json", output)
+	}
+	return nil
+}
+
+func chosenScenarios(names []string) []string {
+	if len(names) == 1 && names[0] == "all" {
+		return scenarioNames()
+	}
+	return names
+}
+
+func scenarioNames() []string {
+	var names []string
+	for _, scenario := range measure.Scenarios() {
+		names = append(names, scenario.Name)
+	}
+	return names
+}
--- /dev/null
+++ b/internal/deployment/deployment_test.go
@@ -0,0 +1,102 @@
+package deployment_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sapphirespread.example/internal/deployment"
+)
+
+func TestDeploymentsHaveTheirSizes(t *testing.T) {
+	for _, c := range []struct {
+		d                                 deployment.Deployment
+		domains, targets, most, low, high int
+		lowConnections, highConnections   int
+	}{
+		{deployment.Banevakt(), 3, 3, 5, 50, 260, 400, 1700},
+		{deployment.Kite(), 4, 4, 6, 25, 230, 250, 1500},
+	} {
+		if len(c.d.FailureDomains) != c.domains || len(c.d.Services) != 4 || len(c.d.Workspaces) != 8 {
+			t.Errorf("%s: %d failure domains, %d services, %d workspaces", c.d.Name, len(c.d.FailureDomains), len(c.d.Services), len(c.d.Workspaces))
+		}
+		share := 0.0
+		for _, workspace := range c.d.Workspaces {
+			share += workspace.Share
+		}
+		if math.Abs(share-1) > 1e-9 {
+			t.Errorf("%s: the workspaces' shares add up to %v", c.d.Name, share)
+		}
+		for _, service := range c.d.Services {
+			if n := len(service.Slots); n < c.targets || n > c.most || len(service.Connections) != n {
+				t.Errorf("%s: %s has %d targets and %d connections", c.d.Name, service.Name, n, len(service.Connections))
+			}
+			for i, slots := range service.Slots {
+				if connections := service.Connections[i]; slots < c.low || slots > c.high || connections < c.lowConnections || connections > c.highConnections {
+					t.Errorf("%s: %s-%d has %d slots and %d connections", c.d.Name, service.Name, i+1, slots, connections)
+				}
+			}
+		}
+	}
+}
+
+// The best goodput is never above what is offered or below what a lower load reaches, never grows by an
+// impairment, and is all that is offered up to the capacity.
+func TestBestGoodputIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := rapid.SampledFrom([]deployment.Deployment{deployment.Banevakt(), deployment.Kite()}).Draw(t, "deployment").Scaled(0.1)
+		share := rapid.Float64Range(0.05, 4).Draw(t, "share")
+		offered := d.Capacity() * share
+		service := rapid.SampledFrom(d.Services).Draw(t, "service").Name
+		impaired := deployment.Impairment{Service: service, Slots: rapid.Float64Range(0.1, 1).Draw(t, "slots"), Slowdown: rapid.Float64Range(1, 10).Draw(t, "slowdown")}
+		best, err := d.BestGoodput(offered)
+		if err != nil {
+			t.Fatal(err)
+		}
+		worse, err := d.BestGoodput(offered, impaired)
+		if err != nil {
+			t.Fatal(err)
+		}
+		const slack = 1e-6
+		if best > offered+slack || worse > best+slack || worse <= 0 || best < min(offered, d.Capacity())-slack {
+			t.Fatalf("offered %v of capacity %v: best %v, impaired %v", offered, d.Capacity(), best, worse)
+		}
+	})
+}
+
+func TestHeldIncludesDeeperServices(t *testing.T) {
+	d := deployment.Banevakt()
+	slow := deployment.Impairment{Service: "payment", Slots: 1, Slowdown: 10}
+	if held := d.Held("booking"); held != 200*time.Millisecond {
+		t.Errorf("booking is held for %v", held)
+	}
+	if held := d.Held("booking", slow); held != 650*time.Millisecond {
+		t.Errorf("booking is held for %v while payment is slow", held)
+	}
+}
+
+func TestFairShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		demands := rapid.SliceOfN(rapid.Float64Range(0, 100), 1, 10).Draw(t, "demands")
+		total := rapid.Float64Range(0, 500).Draw(t, "total")
+		shares := deployment.FairShares(total, demands)
+		sum, wanted, cut := 0.0, 0.0, math.Inf(1)
+		for i, share := range shares {
+			sum += share
+			wanted += demands[i]
+			if share < demands[i]-1e-9 {
+				cut = min(cut, share)
+			}
+		}
+		if math.Abs(sum-min(total, wanted)) > 1e-6 {
+			t.Fatalf("gave %v of %v to demands of %v", sum, total, wanted)
+		}
+		for i, share := range shares {
+			if share > demands[i]+1e-9 || share > cut+1e-6 {
+				t.Fatalf("share %v of demand %v, while another is cut to %v", share, demands[i], cut)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/measure/plot.go
@@ -0,0 +1,84 @@
+package measure
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"sapphirespread.example/internal/load"
+)
+
+const (
+	plotWidth  = 18 * vg.Centimeter
+	plotHeight = 9 * vg.Centimeter
+	plotWindow = 500 * time.Millisecond
+	plotFolder = 0o750
+)
+
+// Plot writes goodput over time of results, all of one scenario and deployment, as an SVG file in folder.
+func Plot(folder string, results []Result) (path string, err error) {
+	if len(results) == 0 {
+		return "", errorx.IllegalArgument.New("no results to plot")
+	}
+	if err := os.MkdirAll(folder, plotFolder); err != nil {
+		return "", errorx.Decorate(err, "create folder for plots")
+	}
+	first := results[0]
+	p := plot.New()
+	p.Title.Text = fmt.Sprintf("%s: %s", first.Deployment, first.Scenario)
+	p.X.Label.Text = "seconds"
+	p.Y.Label.Text = "whole requests answered a second"
+	p.Y.Min = 0
+	p.Legend.Top = true
+	for i, result := range results {
+		line, err := plotter.NewLine(goodputLine(result))
+		if err != nil {
+			return "", errorx.Decorate(err, "draw %s", result.System)
+		}
+		line.Color = plotutil.Color(i)
+		p.Add(line)
+		p.Legend.Add(string(result.System), line)
+	}
+	if err := addBest(p, first); err != nil {
+		return "", err
+	}
+	path = filepath.Join(folder, first.Deployment+"-"+first.Scenario+".svg")
+	if err := p.Save(plotWidth, plotHeight, path); err != nil {
+		return "", errorx.Decorate(err, "write plot")
+	}
+	return path, nil
+}
+
+// addBest draws the best possible goodput during the trigger.
+func addBest(p *plot.Plot, r Result) error {
+	from, to := r.Times.Before.Seconds(), r.Times.End().Seconds()
+	best, err := plotter.NewLine(plotter.XYs{{X: from, Y: r.BestGoodput}, {X: to, Y: r.BestGoodput}})
+	if err != nil {
+		return errorx.Decorate(err, "draw the best goodput")
+	}
+	best.Dashes = plotutil.Dashes(1)
+	p.Add(best)
+	p.Legend.Add("best during the trigger", best)
+	return nil
+}
+
+func goodputLine(r Result) plotter.XYs {
+	width := int(plotWindow / load.Interval)
+	var points plotter.XYs
+	for i := 0; i+width <= len(r.Moments); i += width {
+		good := int64(0)
+		for _, moment := range r.Moments[i : i+width] {
+			good += moment.Good
+		}
+		middle := r.Moments[i].At + plotWindow/2
+		points = append(points, plotter.XY{X: middle.Seconds(), Y: float64(good) / plotWindow.Seconds()})
+	}
+	return points
+}
--- /dev/null
+++ b/internal/measure/run.go
@@ -0,0 +1,88 @@
+package measure
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"sapphirespread.example/internal/deployment"
+	"sapphirespread.example/internal/load"
+)
+
+const keyLength = 16
+
+// Run runs one scenario against one system and judges it; d is scaled already.
+func Run(ctx context.Context, name SystemName, s Scenario, d deployment.Deployment, seed uint64, times Times) (Result, error) {
+	plan := s.Plan(d, seed, times)
+	if err := plan.Check(); err != nil {
+		return Result{}, err
+	}
+	for i := range plan.Workspaces {
+		plan.Workspaces[i].Key = newKey()
+	}
+	setup := Setup{Deployment: d, Workspaces: plan.Workspaces, Seed: seed, Downtime: times.Trigger}
+	system, err := StartSystem(ctx, name, setup)
+	if err != nil {
+		return Result{}, errorx.Decorate(err, "start system %s", name)
+	}
+	report := apply(ctx, system, s, d, plan, times)
+	result := Result{
+		Scenario: s.Name, Deployment: d.Name, System: name, Seed: seed, Times: times,
+		Repeated: system.Fleet().Repeated(), Latency: report.Latency, Refusals: report.Refusals,
+		Verdicts: report.Verdicts, Routes: report.Routes, Moments: report.Moments,
+	}
+	if err := system.Stop(); err != nil {
+		return result, errorx.Decorate(err, "stop system %s", name)
+	}
+	if err := ctx.Err(); err != nil {
+		return result, errorx.Decorate(err, "run scenario %s", s.Name)
+	}
+	return result, Judge(&result, s, d, plan, report)
+}
+
+// apply sends the load and brings about the trigger.
+func apply(ctx context.Context, system System, s Scenario, d deployment.Deployment, plan load.Plan, times Times) load.Report {
+	client := load.NewClient(system.Entries, plan.Seed)
+	defer client.Close()
+	start := time.Now()
+	recorder := load.NewRecorder(plan, start, s.steady(times))
+	triggers := make(chan struct{})
+	go func() {
+		defer close(triggers)
+		s.pull(ctx, system, d, start, times)
+	}()
+	retrier := func(time.Duration) load.Retrier { return s.Retrier }
+	load.NewRunner(plan, client, load.WithRetrier(retrier)).Run(ctx, recorder)
+	<-triggers
+	return recorder.Report()
+}
+
+// pull begins and ends the trigger at its times.
+func (s Scenario) pull(ctx context.Context, system System, d deployment.Deployment, start time.Time, times Times) {
+	if s.begin != nil && wait(ctx, start.Add(times.Before)) {
+		s.begin(d, system)
+	}
+	if s.end != nil && wait(ctx, start.Add(times.End())) {
+		s.end(d, system)
+	}
+}
+
+func wait(ctx context.Context, until time.Time) bool {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func newKey() string {
+	var secret [keyLength]byte
+	_, _ = rand.Read(secret[:])
+	return hex.EncodeToString(secret[:])
+}
--- /dev/null
+++ b/internal/measure/trigger.go
@@ -0,0 +1,68 @@
+package measure
+
+import (
+	"sapphirespread.example/internal/deployment"
+	"sapphirespread.example/internal/load"
+)
+
+func surge(factor float64) func(deployment.Deployment, Times) []load.Phase {
+	return func(_ deployment.Deployment, t Times) []load.Phase {
+		return []load.Phase{{From: t.Before, To: t.End(), Factor: factor}}
+	}
+}
+
+// tenant makes the largest workspace send several times its granted rate.
+func tenant(d deployment.Deployment, t Times) []load.Phase {
+	return []load.Phase{{From: t.Before, To: t.End(), Workspace: d.Workspaces[0].Name, Factor: tenantLimit * tenantFactor}}
+}
+
+// deep returns the service that is called by another and itself calls a third.
+func deep(d deployment.Deployment) string {
+	for _, service := range d.Services {
+		for _, call := range service.Calls {
+			if callee, _ := d.Service(call.Service); len(callee.Calls) > 0 {
+				return callee.Name
+			}
+		}
+	}
+	return d.Services[len(d.Services)-1].Name
+}
+
+func slowDeep(d deployment.Deployment, s System) {
+	s.Fleet().Slow(deep(d), slowdownFactor)
+}
+
+func healDeep(d deployment.Deployment, s System) {
+	s.Fleet().Slow(deep(d), 1)
+}
+
+func deepImpairment(d deployment.Deployment) []deployment.Impairment {
+	return []deployment.Impairment{{Service: deep(d), Slots: 1, Slowdown: slowdownFactor}}
+}
+
+func killDeep(d deployment.Deployment, s System) {
+	s.Fleet().Kill(deep(d))
+}
+
+func oneTargetGone(d deployment.Deployment) []deployment.Impairment {
+	service, _ := d.Service(deep(d))
+	left := service.SlotsLeft(func(target int) bool { return target != 0 })
+	return []deployment.Impairment{{Service: service.Name, Slots: left, Slowdown: 1}}
+}
+
+func loseDomain(d deployment.Deployment, s System) {
+	s.Lose(d.FailureDomains[0])
+}
+
+func restoreDomain(d deployment.Deployment, s System) {
+	s.Restore(d.FailureDomains[0])
+}
+
+func oneDomainGone(d deployment.Deployment) []deployment.Impairment {
+	var impaired []deployment.Impairment
+	for _, service := range d.Services {
+		left := service.SlotsLeft(func(target int) bool { return d.FailureDomain(target) != d.FailureDomains[0] })
+		impaired = append(impaired, deployment.Impairment{Service: service.Name, Slots: left, Slowdown: 1})
+	}
+	return impaired
+}
--- a/internal/standin/handler.go
+++ b/internal/standin/handler.go
@@ -92,9 +92,6 @@
 	if err != nil {
 		return errorx.Decorate(err, "build sub-call to %s", call.Service)
 	}
-	if key := parent.Header.Get(IdempotencyKeyHeader); key != "" && call.Method != http.MethodGet {
-		request.Header.Set(IdempotencyKeyHeader, key+"."+call.Service)
-	}
 	response, err := s.caller.Send(ctx, call.Service, parent, request)
 	if err != nil {
 		return errorx.Decorate(err, "call %s", call.Service)
--- a/internal/standin/server_test.go
+++ b/internal/standin/server_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -113,9 +116,15 @@
 func TestCrashResetsConnectionsAndServerComesBack(t *testing.T) {
 	s := standin.New("booking", standin.WithWork(time.Microsecond, standin.Constant), standin.WithRestart(10*time.Millisecond))
 	base, _ := run(t, s)
-	if _, _, _, err := do(t, http.MethodGet, base+"/?crash=booking", standin.IdempotencyKeyHeader, "k"); err == nil {
-		t.Fatal("the crashing request was answered")
+	conn, err := net.Dial("tcp", strings.TrimPrefix(base, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.WriteString(conn, "GET /?crash=booking HTTP/1.1\r\nHost: booking\r\nIdempotency-Key: k\r\n\r\n")
+	if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Fatalf("the crashing request: %v, want its connection reset", err)
 	}
+	_ = conn.Close()
 	for {
 		status, _, _, err := do(t, http.MethodGet, base+"/?crash=other")
 		if err == nil && status == http.StatusOK {
