Run sapphirespread in the measurements beside the baselines

The measurements held the baselines only. A cluster in one process now runs three control instances, a daemon beside each stand-in, and the load through their real sockets; it counts as started once each daemon has answered on each route. A lost failure domain has its connections reset and its daemons stopped, and comes back at the same addresses.

--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -91,14 +91,7 @@
 		limit.Burst = max(int64(limit.Rate*burstTime.Seconds()), smallestBurst)
 		plan.Workspaces = append(plan.Workspaces, load.Workspace{Name: workspace.Name, Rate: rate, Limit: limit})
 	}
-	for _, route := range d.Routes {
-		if route.Weight > 0 {
-			plan.Routes = append(plan.Routes, load.Route{
-				Name: route.Name, Method: route.Method, Path: route.Path, Service: route.Service,
-				Priority: route.Priority.Level, Deadline: route.Deadline, Repeatable: route.Repeatable, Weight: route.Weight,
-			})
-		}
-	}
+	plan.Routes = Routes(d)
 	if s.phases != nil {
 		plan.Phases = s.phases(d, times)
 	}
@@ -112,3 +105,17 @@
 	}
 	return func(at time.Duration) bool { return at < times.Before || at >= times.End()+settleTime }
 }
+
+// Routes returns the routes that callers of d use.
+func Routes(d deployment.Deployment) []load.Route {
+	var routes []load.Route
+	for _, route := range d.Routes {
+		if route.Weight > 0 {
+			routes = append(routes, load.Route{
+				Name: route.Name, Method: route.Method, Path: route.Path, Service: route.Service,
+				Priority: route.Priority.Level, Deadline: route.Deadline, Repeatable: route.Repeatable, Weight: route.Weight,
+			})
+		}
+	}
+	return routes
+}
--- a/internal/measure/system.go
+++ b/internal/measure/system.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+	"github.com/rs/zerolog"
 
 	"sapphirespread.example/internal/deployment"
 	"sapphirespread.example/internal/load"
@@ -42,6 +43,11 @@
 	Seed       uint64
 	// Downtime is how long a backend server is down after a crash.
 	Downtime time.Duration
+	// Instances is the number of control instances; 3 by default.
+	Instances int
+	// Folder holds the data of the control instances; a temporary one by default.
+	Folder string
+	Logger zerolog.Logger
 }
 
 // StartSystem starts the system called name and returns once it can serve.
@@ -49,8 +55,10 @@
 	switch name {
 	case None, Fixed:
 		return startBaseline(ctx, name, setup)
+	case Sapphirespread:
+		return StartCluster(ctx, setup)
 	default:
-		return nil, errorx.IllegalArgument.New("unknown system %q: want none or fixed", name)
+		return nil, errorx.IllegalArgument.New("unknown system %q: want none, fixed or sapphirespread", name)
 	}
 }
 
--- a/internal/standin/listener.go
+++ b/internal/standin/listener.go
@@ -5,19 +5,20 @@
 	"sync"
 )
 
-// trackedListener knows its open connections, so that a crash can reset them.
-type trackedListener struct {
+// A Listener knows its open connections, so that a crash can reset them.
+type Listener struct {
 	net.Listener
 	mu   sync.Mutex
 	open map[*trackedConn]struct{}
 }
 
-func newTrackedListener(inner net.Listener) *trackedListener {
-	return &trackedListener{Listener: inner, open: make(map[*trackedConn]struct{})}
+// NewListener returns a Listener that accepts from inner.
+func NewListener(inner net.Listener) *Listener {
+	return &Listener{Listener: inner, open: make(map[*trackedConn]struct{})}
 }
 
 // Accept returns the next connection.
-func (l *trackedListener) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	inner, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -29,14 +30,15 @@
 	return conn, nil
 }
 
-func (l *trackedListener) count() int {
+// Count returns the number of open connections.
+func (l *Listener) Count() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return len(l.open)
 }
 
-// reset closes the listener and resets all its connections.
-func (l *trackedListener) reset() {
+// Reset closes the listener and resets all its connections.
+func (l *Listener) Reset() {
 	_ = l.Close()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -51,7 +53,7 @@
 
 type trackedConn struct {
 	net.Conn
-	listener *trackedListener
+	listener *Listener
 }
 
 // Close closes the connection and forgets it.
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -53,7 +53,7 @@
 	draining                atomic.Bool
 	crashes, late, finished atomic.Int64
 	crashed, drainAsked     chan struct{}
-	listener                atomic.Pointer[trackedListener]
+	listener                atomic.Pointer[Listener]
 }
 
 // New returns a Server that runs service.
@@ -93,7 +93,7 @@
 	if s.listen.Port() == 0 {
 		s.listen = inner.Addr().(*net.TCPAddr).AddrPort()
 	}
-	s.listener.Store(newTrackedListener(inner))
+	s.listener.Store(NewListener(inner))
 	return nil
 }
 
@@ -143,7 +143,7 @@
 	defer silence()
 	select {
 	case <-s.crashed:
-		listener.reset()
+		listener.Reset()
 		_ = server.Close()
 		<-failed
 		s.listener.Store(nil)
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -20,7 +20,7 @@
 func (s *Server) Report() Load {
 	connections := 0
 	if listener := s.listener.Load(); listener != nil {
-		connections = listener.count()
+		connections = listener.Count()
 	}
 	load := Load{Slots: s.slots, InFlight: s.executor.held(), Connections: connections}
 	return s.reporter.report(time.Now(), load)
