Add the demo of both deployments

One process starts both deployments with three control instances each, sends load with a surge in the middle through real sockets, tells a line a second and a summary, and stops within its duration.

--- a/internal/cmd/measurecmd.go
+++ b/internal/cmd/measurecmd.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
+	"io"
 	"strings"
 	"time"
 
@@ -13,8 +13,8 @@
 	"sapphirespread.example/internal/measure"
 )
 
-// measureCommand compares sapphirespread with its baselines under load.
-func measureCommand() *cli.Command {
+// newMeasureCommand compares sapphirespread with its baselines under load.
+func newMeasureCommand(a *app) *cli.Command {
 	return &cli.Command{
 		Name:  "measure",
 		Usage: "measure goodput, recovery, fairness and wrongful refusals beside baselines",
@@ -30,34 +30,31 @@
 			&cli.DurationFlag{Name: "trigger", Usage: "`time` that the trigger lasts", Value: 10 * time.Second},
 			&cli.DurationFlag{Name: "after", Usage: "`time` after the trigger", Value: 8 * time.Second},
 			&cli.StringFlag{Name: "plot", Usage: "`folder` for a plot of goodput over time a scenario"},
-			&cli.StringFlag{Name: "output", Usage: "text or json", Value: "text"},
+			outputFlag(),
 		},
-		Action: runMeasure,
+		Action: func(ctx context.Context, c *cli.Command) error { return a.runMeasure(ctx, c) },
 	}
 }
 
-func runMeasure(ctx context.Context, command *cli.Command) error {
+func (a *app) runMeasure(ctx context.Context, command *cli.Command) error {
 	if err := checkMeasure(command); err != nil {
-		return cli.Exit(err.Error(), 2)
+		return usageError{err}
 	}
 	var results []measure.Result
 	for _, name := range command.StringSlice("deployment") {
 		for _, scenario := range chosenScenarios(command.StringSlice("scenario")) {
-			compared, err := compareSystems(ctx, command, name, scenario)
+			compared, err := a.compareSystems(ctx, command, name, scenario)
 			if err != nil {
 				return err
 			}
 			results = append(results, compared...)
 		}
 	}
-	if command.String("output") == "json" {
-		return json.NewEncoder(command.Root().Writer).Encode(results)
-	}
-	return measure.WriteText(command.Root().Writer, results)
+	return a.print(command, results, func(w io.Writer) error { return measure.WriteText(w, results) })
 }
 
 // compareSystems runs one scenario against each system, one after the other, and plots them together.
-func compareSystems(ctx context.Context, command *cli.Command, name, scenario string) ([]measure.Result, error) {
+func (a *app) compareSystems(ctx context.Context, command *cli.Command, name, scenario string) ([]measure.Result, error) {
 	chosen, err := measure.FindScenario(scenario)
 	if err != nil {
 		return nil, err
@@ -70,7 +67,7 @@
 	times := measure.Times{Before: command.Duration("before"), Trigger: command.Duration("trigger"), After: command.Duration("after")}
 	var results []measure.Result
 	for _, system := range command.StringSlice("systems") {
-		_, _ = fmt.Fprintf(command.Root().ErrWriter, "measure: %s, %s, %s\n", name, scenario, system)
+		_, _ = fmt.Fprintf(a.stderr, "measure: %s, %s, %s\n", name, scenario, system)
 		result, err := measure.Run(ctx, measure.SystemName(system), chosen, whole.Scaled(scale), command.Uint64("seed"), times)
 		if err != nil {
 			return nil, err
@@ -105,9 +102,6 @@
 	if command.Float("scale") <= 0 {
 		return fmt.Errorf("--scale: want a number above 0")
 	}
-	if output := command.String("output"); output != "text" && output != "json" {
-		return fmt.Errorf("--output %q: want text or json", output)
-	}
 	return nil
 }
 
--- a/internal/cmd/root.go
+++ b/internal/cmd/root.go
@@ -36,6 +36,8 @@
 	newDaemonCommand,
 	newControlCommand,
 	func(*app) *cli.Command { return standinCommand() },
+	newDemoCommand,
+	newMeasureCommand,
 }
 
 // Main runs the command that args name, without the name of the program, and returns the exit status.
--- a/internal/measure/cluster.go
+++ b/internal/measure/cluster.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/uuid"
 	"github.com/joomcode/errorx"
+	"golang.org/x/sync/errgroup"
 
 	"sapphirespread.example/configuration"
 	"sapphirespread.example/internal/control"
@@ -184,19 +185,24 @@
 
 // awaitReady waits until each daemon answers a request on each route.
 func (c *Cluster) awaitReady(ctx context.Context, probe load.Workspace) error {
+	group, ctx := errgroup.WithContext(ctx)
 	for _, instance := range c.instances {
-		for !instance.ready(ctx) {
-			if !sleep(ctx, pollInterval) {
-				return errorx.Decorate(ctx.Err(), "wait until %s is ready", instance.name)
-			}
-		}
-		client := load.NewClient(func(string) []netip.AddrPort { return []netip.AddrPort{instance.callers()} }, 1)
-		err := c.probe(ctx, client, probe)
-		client.Close()
-		if err != nil {
-			return errorx.Decorate(err, "probe %s", instance.name)
+		group.Go(func() error { return c.awaitInstance(ctx, instance, probe) })
+	}
+	return group.Wait()
+}
+
+func (c *Cluster) awaitInstance(ctx context.Context, instance *instance, probe load.Workspace) error {
+	for !instance.ready(ctx) {
+		if !sleep(ctx, pollInterval) {
+			return errorx.Decorate(ctx.Err(), "wait until %s is ready", instance.name)
 		}
 	}
+	client := load.NewClient(func(string) []netip.AddrPort { return []netip.AddrPort{instance.callers()} }, 1)
+	defer client.Close()
+	if err := c.probe(ctx, client, probe); err != nil {
+		return errorx.Decorate(err, "probe %s", instance.name)
+	}
 	return nil
 }
 
--- a/internal/measure/run.go
+++ b/internal/measure/run.go
@@ -48,7 +48,7 @@
 	client := load.NewClient(system.Entries, plan.Seed)
 	defer client.Close()
 	start := time.Now()
-	recorder := load.NewRecorder(plan, start, s.steady(times))
+	recorder := load.NewRecorder(plan, start, s.Steady(times))
 	triggers := make(chan struct{})
 	go func() {
 		defer close(triggers)
--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -98,8 +98,8 @@
 	return plan
 }
 
-// steady tells whether requests sent at a time of the run ought not to be refused as overload.
-func (s Scenario) steady(times Times) func(at time.Duration) bool {
+// Steady tells whether requests sent at a time of the run ought not to be refused as overload.
+func (s Scenario) Steady(times Times) func(at time.Duration) bool {
 	if !s.Trigger {
 		return func(time.Duration) bool { return true }
 	}
