--- a/internal/cmd/root.go
+++ b/internal/cmd/root.go
@@ -37,6 +37,8 @@
 	newControlCommand,
 	newTimelineCommand,
 	func(*app) *cli.Command { return standinCommand() },
+	newDemoCommand,
+	newMeasureCommand,
 }
 
 // Main runs the command that args name, without the name of the program, and returns the exit status.
