--- /dev/null
+++ b/internal/daemon/process_test.go
@@ -0,0 +1,202 @@
+package daemon_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"sapphirespread.example/configuration"
+	"sapphirespread.example/internal/cmd"
+	"sapphirespread.example/internal/operator"
+)
+
+const runVariable = "SAPPHIRESPREAD_TEST_RUN"
+
+// TestMain runs the command of the project where a test starts this binary as a process.
+func TestMain(m *testing.M) {
+	if os.Getenv(runVariable) != "" {
+		os.Exit(cmd.Main(context.Background(), os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// A process is one process of the system that a test may kill, freeze and start again.
+type process struct {
+	t       *testing.T
+	args    []string
+	command *exec.Cmd
+	logs    *lockedBuffer
+}
+
+func startProcess(t *testing.T, args ...string) *process {
+	t.Helper()
+	p := &process{t: t, args: args, logs: &lockedBuffer{}}
+	p.start()
+	t.Cleanup(func() {
+		p.kill()
+		if t.Failed() {
+			t.Logf("%v:\n%s", p.args, p.logs.String())
+		}
+	})
+	return p
+}
+
+func (p *process) start() {
+	p.t.Helper()
+	p.command = exec.Command(os.Args[0], p.args...)
+	p.command.Env = append(os.Environ(), runVariable+"=1")
+	p.command.Stderr = p.logs
+	if err := p.command.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+func (p *process) kill() {
+	_ = p.command.Process.Kill()
+	_ = p.command.Wait()
+}
+
+func (p *process) signal(s syscall.Signal) {
+	_ = p.command.Process.Signal(s)
+}
+
+// A cluster is a control instance with daemons as processes of their own.
+type cluster struct {
+	t         *testing.T
+	folder    string
+	peer      netip.AddrPort
+	operators netip.AddrPort
+	control   *process
+}
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	listener := listen(t)
+	defer func() { _ = listener.Close() }()
+	return addressOf(listener)
+}
+
+func newCluster(t *testing.T, set configuration.Set) *cluster {
+	t.Helper()
+	c := &cluster{t: t, folder: t.TempDir(), peer: freeAddress(t), operators: freeAddress(t)}
+	path := c.write("control.toml", fmt.Sprintf(`
+name = "control-1"
+cluster = "test"
+failure-domain = "domain-1"
+peer-listen = %q
+operators-listen = %q
+data-folder = %q
+election-timeout = "300ms"
+heartbeat = "50ms"
+[[members]]
+name = "control-1"
+address = %q
+`, c.peer, c.operators, filepath.Join(c.folder, "data"), c.peer))
+	c.control = startProcess(t, "control", path)
+	client := operator.NewClient([]netip.AddrPort{c.operators})
+	eventually(t, "publish", func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		published, err := client.Publish(ctx, configuration.Publish{ID: "first", Set: set})
+		return err == nil && published.Kind == configuration.Accepted
+	})
+	return c
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(2 * testBound); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("%s: not within %s", what, 2*testBound)
+}
+
+func (c *cluster) write(name, content string) string {
+	c.t.Helper()
+	path := filepath.Join(c.folder, name)
+	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+	return path
+}
+
+// A daemonProcess is a daemon as a process, and the backend server that announces itself to it.
+type daemonProcess struct {
+	*process
+	callers  netip.AddrPort
+	subcalls netip.AddrPort
+	ready    string
+}
+
+func (c *cluster) daemon(name string) *daemonProcess {
+	c.t.Helper()
+	d := &daemonProcess{callers: freeAddress(c.t), subcalls: freeAddress(c.t)}
+	operators := freeAddress(c.t)
+	d.ready = "http://" + operators.String() + "/operator/v1/health/ready"
+	path := c.write(name+".toml", fmt.Sprintf(`
+name = %q
+cluster = "test"
+failure-domain = "domain-1"
+callers-listen = %q
+peer-listen = %q
+subcalls-listen = %q
+operators-listen = %q
+backend-server = "127.0.0.1:1"
+control = [%q]
+`, name, d.callers, freeAddress(c.t), d.subcalls, operators, c.peer))
+	d.process = startProcess(c.t, "daemon", path)
+	d.awaitReady()
+	return d
+}
+
+func (d *daemonProcess) awaitReady() {
+	eventually(d.t, "daemon ready", func() bool { return status(d.ready)/100 == 2 })
+}
+
+// serve announces a backend server of service to the daemon until the end of the test.
+func (d *daemonProcess) serve(name, service string, handler http.HandlerFunc) {
+	d.t.Helper()
+	listener := listen(d.t)
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(listener) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	d.t.Cleanup(func() {
+		cancel()
+		_ = server.Close()
+	})
+	said, _ := json.Marshal(map[string]any{
+		"name": name, "service": service, "address": addressOf(listener), "slots": 64, "state": "ready",
+	})
+	go func() {
+		for ctx.Err() == nil {
+			request, _ := http.NewRequestWithContext(ctx, http.MethodPut,
+				"http://"+d.subcalls.String()+"/announce/v1/target", bytes.NewReader(said))
+			request.Close = true
+			send(request)
+			time.Sleep(200 * time.Millisecond)
+		}
+	}()
+}
+
+// book sends a booking under an idempotency key, bounded by timeout.
+func (d *daemonProcess) book(key string, timeout time.Duration) reply {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	request, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.callers.String()+"/bookings", strings.NewReader("court 3"))
+	request.Header.Set("Authorization", "Bearer "+secretOf("club"))
+	request.Header.Set("Idempotency-Key", key)
+	request.Close = true
+	return send(request)
+}
