Wait until a publish is in force

The client no longer goes through a proxy of the environment.

A test follows each link between pages; it was seen to fail on a misspelt one.

--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"path/filepath"
 	"reflect"
 	"regexp"
 	"slices"
@@ -116,6 +117,27 @@
 	return names
 }
 
+var link = regexp.MustCompile(`\]\(([^)#:]+)\)`)
+
+// TestLinksLeadToPages looks for what each relative link names.
+func TestLinksLeadToPages(t *testing.T) {
+	var pages []string
+	for _, pattern := range []string{"*.md", "*/*.md", "../*.md", "../examples/*/*.md"} {
+		found, err := filepath.Glob(pattern)
+		if err != nil || len(found) == 0 {
+			t.Fatalf("%s: no pages: %v", pattern, err)
+		}
+		pages = append(pages, found...)
+	}
+	for _, page := range pages {
+		for _, match := range link.FindAllStringSubmatch(read(t, page), -1) {
+			if _, err := os.Stat(filepath.Join(filepath.Dir(page), match[1])); err != nil {
+				t.Errorf("%s: %v", page, err)
+			}
+		}
+	}
+}
+
 // TestEveryFieldIsExplained looks for each name of a TOML file on its page.
 func TestEveryFieldIsExplained(t *testing.T) {
 	settingsPage, objectsPage := read(t, "reference/settings.md"), read(t, "reference/objects.md")
--- a/internal/cmd/cmd_test.go
+++ b/internal/cmd/cmd_test.go
@@ -21,7 +21,7 @@
 
 // TestCommands replays scripts against one system in memory. "run" runs a command a line, "file" writes a file and
 // "cat" reads one in the folder that stands as $DIR; "lose" loses the answer to the next publish after it was
-// acted on, and "race" publishes a revision between the next read and the next publish.
+// acted on, "behind" shows the daemon without the current revision for a number of polls, and "race" publishes a revision between the next read and the next publish.
 func TestCommands(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		s := newScript(t)
@@ -67,6 +67,9 @@
 	case "lose":
 		s.api.lose = true
 		return ""
+	case "behind":
+		d.ScanArgs(t, "polls", &s.api.behind)
+		return ""
 	case "race":
 		s.api.race = true
 		return ""
@@ -111,6 +114,18 @@
 type unsure struct {
 	operator.API
 	lose, race bool
+	// behind is how many more times the daemon is seen without the current revision.
+	behind int
+}
+
+func (u *unsure) Status(ctx context.Context) (operator.Status, error) {
+	status, err := u.API.Status(ctx)
+	status.Daemons[0].Revision = status.Revision
+	if u.behind > 0 {
+		u.behind--
+		status.Daemons[0].Revision--
+	}
+	return status, err
 }
 
 func (u *unsure) Current(ctx context.Context) (operator.Revision, error) {
--- a/internal/cmd/keywithdrawcmd.go
+++ b/internal/cmd/keywithdrawcmd.go
@@ -22,8 +22,8 @@
 		ArgsUsage: "NAME",
 		Description: "Publishes the set in force with this one key withdrawn; it stops working within seconds, also for callers\n" +
 			"that are connected. Set withdrawn = true in your own folder too, or the next publish from it gives the key back.\n\n" +
-			"Example:\n   sapphirespread key withdraw --control 127.0.0.1:7102 oslo-2026",
-		Flags: []cli.Flag{controlFlag(), authorFlag(), commentFlag(), dryRunFlag(), outputFlag()},
+			"Example:\n   sapphirespread key withdraw --control 127.0.0.1:7102 --wait 5s oslo-2026",
+		Flags: []cli.Flag{controlFlag(), authorFlag(), commentFlag(), waitFlag(), dryRunFlag(), outputFlag()},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			args, err := arguments(c, 1, 1)
 			if err != nil {
@@ -45,14 +45,14 @@
 			return err
 		}
 		if withdrawn {
-			return a.printPublished(c, publish.Base, configuration.Published{Kind: configuration.Accepted, Revision: publish.Base})
+			return a.finishPublished(ctx, c, api, publish.Base, configuration.Published{Kind: configuration.Accepted, Revision: publish.Base})
 		}
 		published, err := api.Publish(ctx, publish)
 		if err != nil {
 			return fmt.Errorf("withdrawing the key (the outcome is not known; run the same command again): %w", err)
 		}
 		if published.Kind != configuration.Conflict {
-			return a.printPublished(c, publish.Base, published)
+			return a.finishPublished(ctx, c, api, publish.Base, published)
 		}
 	}
 	return fmt.Errorf("withdrawing the key: other publishes were faster %d times; run the same command again", withdrawTries)
--- a/internal/cmd/publishcmd.go
+++ b/internal/cmd/publishcmd.go
@@ -19,12 +19,12 @@
 			"the last publish or show noted in the file .revision beside it, or 0. If another publish was faster, the\n" +
 			"answer is a conflict and nothing changes. Running the same command again after a lost answer is harmless:\n" +
 			"the same set on the same base by the same author is one publication.\n\n" +
-			"Example:\n   sapphirespread publish --control 127.0.0.1:7102 --comment 'more for Bergen' objects",
+			"Example:\n   sapphirespread publish --control 127.0.0.1:7102 --comment 'more for Bergen' --wait 5s objects",
 		Flags: []cli.Flag{
 			controlFlag(),
 			baseFlag("`REVISION` that the set builds on"),
 			&cli.StringFlag{Name: "id", Usage: "publication `ID` in place of the one made of the content"},
-			authorFlag(), commentFlag(), dryRunFlag(), outputFlag(),
+			authorFlag(), commentFlag(), waitFlag(), dryRunFlag(), outputFlag(),
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			paths, err := arguments(c, 1, math.MaxInt)
@@ -64,7 +64,7 @@
 			return err
 		}
 	}
-	return a.printPublished(c, base, published)
+	return a.finishPublished(ctx, c, api, base, published)
 }
 
 func baseOf(c *cli.Command, path string) (uint64, error) {
--- a/internal/cmd/published.go
+++ b/internal/cmd/published.go
@@ -1,6 +1,7 @@
 package cmd
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
@@ -10,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"sapphirespread.example/configuration"
+	"sapphirespread.example/internal/operator"
 )
 
 const publicationIDBytes = 16
@@ -44,6 +46,14 @@
 	return refused(base, p)
 }
 
+// finishPublished writes the answer to a publish and waits until it is in force, where that is asked for.
+func (a *app) finishPublished(ctx context.Context, c *cli.Command, api operator.API, base uint64, p configuration.Published) error {
+	if err := a.printPublished(c, base, p); err != nil {
+		return err
+	}
+	return a.waitInForce(ctx, c, api, p)
+}
+
 func refused(base uint64, p configuration.Published) error {
 	switch p.Kind {
 	case configuration.Conflict:
--- a/internal/cmd/rollbackcmd.go
+++ b/internal/cmd/rollbackcmd.go
@@ -23,7 +23,7 @@
 			"Example:\n   sapphirespread rollback --control 127.0.0.1:7102 41",
 		Flags: []cli.Flag{
 			controlFlag(), baseFlag("`REVISION` that must be in force; the one found by default"),
-			authorFlag(), commentFlag(), dryRunFlag(), outputFlag(),
+			authorFlag(), commentFlag(), waitFlag(), dryRunFlag(), outputFlag(),
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			args, err := arguments(c, 1, 1)
@@ -65,7 +65,7 @@
 	if err != nil {
 		return fmt.Errorf("rolling back: %w", err)
 	}
-	return a.printPublished(c, base, published)
+	return a.finishPublished(ctx, c, api, base, published)
 }
 
 // rollbackID returns an id made of all that the request holds, as publicationID does.
--- a/internal/cmd/statuscmd.go
+++ b/internal/cmd/statuscmd.go
@@ -13,9 +13,9 @@
 func newStatusCommand(a *app) *cli.Command {
 	return &cli.Command{
 		Name:  "status",
-		Usage: "show the state of a control instance and of the daemons attached to it",
-		Description: "Asks the first control instance that answers, leader or not. A daemon whose revision stays behind has\n" +
-			"not yet the set in force.\n\n" +
+		Usage: "show the state of the leader and of the daemons attached to it",
+		Description: "Asks the first control instance that answers, and the leader where that one knows it. If the leader does not\n" +
+			"answer, the state of the first is shown. A daemon whose revision stays behind has not yet the set in force.\n\n" +
 			"Example:\n   sapphirespread status --control 127.0.0.1:7102",
 		Flags: []cli.Flag{controlFlag(), outputFlag()},
 		Action: func(ctx context.Context, c *cli.Command) error {
@@ -26,9 +26,9 @@
 			if err != nil {
 				return err
 			}
-			status, err := api.Status(ctx)
+			status, err := a.leaderStatus(ctx, api)
 			if err != nil {
-				return fmt.Errorf("reading the status: %w", err)
+				return err
 			}
 			return a.print(c, status, func(w io.Writer) error { return printStatus(w, status) })
 		},
--- a/internal/cmd/timelinecmd.go
+++ b/internal/cmd/timelinecmd.go
@@ -86,14 +86,11 @@
 		return nil, err
 	}
 	found = append(found, more...)
-	status, err := api.Status(ctx)
-	if err == nil && status.Process != status.Leader && status.LeaderAddress.IsValid() {
-		found = append(found, status.LeaderAddress)
-		status, err = a.open([]netip.AddrPort{status.LeaderAddress}).Status(ctx)
-	}
+	status, err := a.leaderStatus(ctx, api)
 	if err != nil {
 		fmt.Fprintf(a.stderr, "the daemons are not known: %v\n", err)
 	}
+	found = append(found, status.LeaderAddress)
 	for _, d := range status.Daemons {
 		found = append(found, d.OperatorsAddress)
 	}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -29,7 +29,7 @@
 		addresses: addresses,
 		patience:  defaultPatience,
 		timeout:   defaultTimeout,
-		http:      &http.Client{},
+		http:      &http.Client{Transport: directTransport()},
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -37,6 +37,13 @@
 	return c
 }
 
+// directTransport returns a transport that goes to instances without a proxy.
+func directTransport() *http.Transport {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.Proxy = nil
+	return transport
+}
+
 // call asks instances until one answers; the error is the last one where none does in time.
 func call[T any](ctx context.Context, c *Client, ask func(context.Context, *oas.Client) (T, error)) (T, error) {
 	var none T
