--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -4,12 +4,14 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"reflect"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -213,6 +215,42 @@
 	}
 }
 
+// TestOneOfManyOperatorsWins publishes on each base from many operators at once, each of them twice.
+func TestOneOfManyOperatorsWins(t *testing.T) {
+	const operators, rounds = 8, 5
+	memory := newMemory()
+	address := serve(t, handler(t, memory))
+	for base := range uint64(rounds) {
+		var wg sync.WaitGroup
+		answers := make([]configuration.Published, 2*operators)
+		for i := range answers {
+			wg.Go(func() {
+				id := fmt.Sprintf("%d-%d", base, i%operators)
+				client := operator.NewClient([]netip.AddrPort{address})
+				answers[i], _ = client.Publish(t.Context(), configuration.Publish{ID: id, Base: base, Set: set("w" + id)})
+			})
+		}
+		wg.Wait()
+		winners := 0
+		for i, answer := range answers {
+			if !reflect.DeepEqual(answer, answers[(i+operators)%len(answers)]) {
+				t.Errorf("operator %d got %+v and %+v", i%operators, answer, answers[(i+operators)%len(answers)])
+			}
+			if answer.Kind == configuration.Accepted {
+				winners++
+			} else if answer.Kind != configuration.Conflict || answer.Winner != base+1 {
+				t.Errorf("operator %d got %+v", i%operators, answer)
+			}
+		}
+		if winners != 2 {
+			t.Errorf("on %d: %d answers are accepted, want those to one operator", base, winners)
+		}
+	}
+	if history, _ := memory.History(t.Context()); len(history) != rounds {
+		t.Errorf("%d revisions", len(history))
+	}
+}
+
 func TestBadRequestsAreRefused(t *testing.T) {
 	full := handler(t, newMemory())
 	process, err := operator.NewProcessHandler(newMemory())
