--- a/configuration/answerbook.go
+++ b/configuration/answerbook.go
@@ -1,7 +1,10 @@
 package configuration
 
-// maxAnswerProblems bounds the problems that one kept answer holds.
-const maxAnswerProblems = 32
+// What one kept answer holds at most.
+const (
+	maxAnswerProblems = 32
+	maxAnswerText     = 256 // bytes of one name or value
+)
 
 // keptAnswer is the first answer to a publication id.
 type keptAnswer struct {
--- a/configuration/problems.go
+++ b/configuration/problems.go
@@ -42,13 +42,25 @@
 	return problems
 }
 
-// first returns at most count problems, the last of them telling how many more there are.
+// first returns at most count problems with short texts, the last of them telling how many more there are.
 func (p Problems) first(count int) Problems {
-	if len(p) <= count {
-		return p
+	kept := slices.Clone(p[:min(len(p), count)])
+	if len(p) > count {
+		kept[count-1] = Problem{Found: strconv.Itoa(len(p)-count+1) + " more problems", Expected: "none"}
 	}
-	more := Problem{Found: strconv.Itoa(len(p)-count+1) + " more problems", Expected: "none"}
-	return append(slices.Clone(p[:count-1]), more)
+	for i := range kept {
+		kept[i].Name = shortened(kept[i].Name)
+		kept[i].Found = shortened(kept[i].Found)
+	}
+	return kept
+}
+
+// shortened cuts text at a bound, between two characters.
+func shortened(text string) string {
+	if len(text) <= maxAnswerText {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxAnswerText], "") + "..."
 }
 
 func problemsOf(err error) Problems {
--- a/configuration/registry_test.go
+++ b/configuration/registry_test.go
@@ -210,6 +210,24 @@
 	}
 }
 
+// TestKeptAnswersAreSmall publishes a set with many problems in long names.
+func TestKeptAnswersAreSmall(t *testing.T) {
+	registry := configuration.NewRegistry()
+	var set configuration.Set
+	for i := range 100 {
+		set.Workspaces = append(set.Workspaces, configuration.Workspace{Name: strings.Repeat("å", 1000+i)})
+	}
+	published := registry.Publish(start, configuration.Publish{ID: "long", Set: set})
+	last := published.Problems[len(published.Problems)-1]
+	if len(published.Problems) != 32 || last.Found != "269 more problems" {
+		t.Errorf("%d problems, the last %v", len(published.Problems), last)
+	}
+	encoded, err := registry.MarshalBinary()
+	if err != nil || len(encoded) > 32*1024 {
+		t.Errorf("%d bytes are kept: %v", len(encoded), err)
+	}
+}
+
 func TestNewerFormatIsRefused(t *testing.T) {
 	err := configuration.NewRegistry().UnmarshalBinary([]byte(`{"format":2}`))
 	if err == nil || !strings.Contains(err.Error(), "format 2") {
