--- /dev/null
+++ b/claim/benchmark_test.go
@@ -0,0 +1,79 @@
+package claim_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"sapphirespread.example/claim"
+)
+
+const benchmarkBody = 200
+
+// filled returns a book of finished claims, and the bytes of one.
+func filled(b *testing.B, claims int) (*claim.Book, float64) {
+	before := heapBytes()
+	book := claim.NewBook()
+	for i := range claims {
+		k := benchmarkKey(i)
+		if state, _ := book.Claim(epoch, k, fmt.Sprintf("daemon-0001/17/%d", i), [32]byte{byte(i)}); state != claim.Won {
+			b.Fatalf("claim %d: %s", i, state)
+		}
+		book.Finish(epoch, k, fmt.Sprintf("daemon-0001/17/%d", i), claim.Outcome{Status: 201, Body: make([]byte, benchmarkBody), BodyKept: true})
+	}
+	return book, float64(heapBytes()-before) / float64(claims)
+}
+
+func benchmarkKey(i int) claim.Key {
+	return claim.Key{
+		Workspace:      fmt.Sprintf("workspace-%d", i%8),
+		Route:          "reservations",
+		IdempotencyKey: timedKey(epoch.Add(time.Duration(i)*time.Millisecond), byte(i)),
+	}
+}
+
+func heapBytes() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+// BenchmarkClaimAndFinish applies one claim and its outcome an operation.
+func BenchmarkClaimAndFinish(b *testing.B) {
+	book := claim.NewBook()
+	keys := make([]claim.Key, b.N)
+	for i := range keys {
+		keys[i] = benchmarkKey(i)
+	}
+	body := make([]byte, benchmarkBody)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		book.Claim(epoch, keys[i], "daemon-0001/17/1", [32]byte{})
+		book.Finish(epoch, keys[i], "daemon-0001/17/1", claim.Outcome{Status: 201, Body: body, BodyKept: true})
+	}
+}
+
+// BenchmarkSnapshot reports the memory of a claim, and the time and size of a snapshot.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, claims := range []int{10_000, 100_000, 400_000} {
+		b.Run(fmt.Sprint("claims=", claims), func(b *testing.B) {
+			book, claimBytes := filled(b, claims)
+			var snapshot []byte
+			b.ResetTimer()
+			for range b.N {
+				snapshot = encoded(b, book)
+			}
+			b.StopTimer()
+			started := time.Now()
+			if err := claim.NewBook().UnmarshalBinary(snapshot); err != nil {
+				b.Fatal(err)
+			}
+			b.ReportMetric(time.Since(started).Seconds()*1000, "restore-ms")
+			b.ReportMetric(claimBytes, "B/claim")
+			b.ReportMetric(float64(len(snapshot))/float64(claims), "snapshot-B/claim")
+		})
+	}
+}
--- a/limit/benchmark_test.go
+++ b/limit/benchmark_test.go
@@ -44,3 +44,80 @@
 		})
 	}
 }
+
+// BenchmarkOwner answers one ask and closes one grant an operation.
+func BenchmarkOwner(b *testing.B) {
+	for _, workspaces := range []int{8, 100, 1000} {
+		for _, holders := range []int{20, 200, 940} {
+			b.Run(fmt.Sprintf("workspaces=%d/holders=%d", workspaces, holders), func(b *testing.B) {
+				o, names := busyOwner(workspaces)
+				daemons := daemonNames[:holders]
+				id := uint64(0)
+				for b.Loop() {
+					id++
+					now := epoch.Add(time.Duration(id) * 10 * time.Microsecond)
+					name, daemon := names[id%uint64(workspaces)], daemons[id/uint64(workspaces)%uint64(holders)]
+					g, _ := o.Ask(now, daemon, limit.Ask{ID: id, Workspace: name, Tokens: 4, Waiting: 2})
+					o.Return(now, daemon, limit.Return{GrantID: g.ID, Workspace: name})
+				}
+			})
+		}
+	}
+}
+
+func busyOwner(workspaces int) (*limit.Owner, []string) {
+	o := limit.NewOwner(epoch.Add(-time.Second))
+	var buckets []limit.NamedBucket
+	var names []string
+	for i := range workspaces {
+		names = append(names, fmt.Sprintf("workspace-%04d", i))
+		buckets = append(buckets, limit.NamedBucket{Workspace: names[i], Bucket: limit.Bucket{Rate: 1e6, Burst: 1e6}})
+	}
+	o.SetBuckets(epoch, buckets)
+	return o, names
+}
+
+// BenchmarkOpenGrants reports the memory of an open grant at the owner.
+func BenchmarkOpenGrants(b *testing.B) {
+	for _, open := range []int{1000, 10_000, 100_000} {
+		b.Run(fmt.Sprint("grants=", open), func(b *testing.B) {
+			for b.Loop() {
+				before := heapBytes()
+				o, names := busyOwner(8)
+				for i := range open {
+					o.Ask(epoch, daemonNames[i%len(daemonNames)], limit.Ask{ID: uint64(i + 1), Workspace: names[i%8], Tokens: 1, Waiting: 1})
+				}
+				b.ReportMetric(float64(heapBytes()-before)/float64(open), "B/grant")
+				runtime.KeepAlive(o)
+			}
+		})
+	}
+}
+
+// BenchmarkHolderTick is what a daemon spends on each tick with idle and with busy workspaces.
+func BenchmarkHolderTick(b *testing.B) {
+	for _, workspaces := range []int{8, 100, 1000} {
+		b.Run(fmt.Sprint("workspaces=", workspaces), func(b *testing.B) {
+			h, _ := stocked(workspaces)
+			b.ReportAllocs()
+			for b.Loop() {
+				h.Asks(epoch)
+				h.Idle(epoch)
+			}
+		})
+	}
+}
+
+var daemonNames = func() (names []string) {
+	for i := range 940 {
+		names = append(names, fmt.Sprintf("daemon-%04d", i))
+	}
+	return names
+}()
+
+func heapBytes() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
