--- a/configuration/registry.go
+++ b/configuration/registry.go
@@ -14,11 +14,14 @@
 type Registry struct {
 	maxSize       int64
 	keptRevisions int
+	keptSize      int64
 	keptAnswers   int
 
 	revision  uint64
 	current   Set
+	size      int64
 	revisions []revision
+	kept      int64
 	answers   answerBook
 }
 
@@ -27,6 +30,7 @@
 	r := &Registry{
 		maxSize:       defaultMaxSize,
 		keptRevisions: defaultKeptRevisions,
+		keptSize:      defaultKeptSize,
 		keptAnswers:   defaultKeptAnswers,
 	}
 	for _, opt := range opts {
@@ -69,10 +73,13 @@
 	if err != nil {
 		return r.broken(problemsOf(err))
 	}
-	if size := set.Size(); size > r.maxSize {
+	made := revision{Forward: set.Changes(r.current), Backward: r.current.Changes(set)}
+	size := r.size + sizeOf(made.Forward) - sizeOf(made.Backward)
+	if size > r.maxSize {
 		return r.tooLarge(size)
 	}
-	r.accept(at, p, set)
+	r.size = size
+	r.accept(at, p, set, made)
 	return Published{Revision: r.revision, Kind: Accepted}
 }
 
@@ -91,8 +98,7 @@
 	return p.Set.canonical(), nil
 }
 
-func (r *Registry) accept(at time.Time, p Publish, set Set) {
-	made := revision{Forward: set.Changes(r.current), Backward: r.current.Changes(set)}
+func (r *Registry) accept(at time.Time, p Publish, set Set, made revision) {
 	r.revision++
 	made.Entry = Entry{
 		Revision: r.revision,
@@ -104,9 +110,18 @@
 	}
 	r.current = set
 	r.revisions = append(r.revisions, made)
-	if excess := len(r.revisions) - r.keptRevisions; excess > 0 {
-		r.revisions = slices.Delete(r.revisions, 0, excess)
+	r.kept += made.size()
+	r.dropOldest()
+}
+
+// dropOldest keeps the revisions within their bounds.
+func (r *Registry) dropOldest() {
+	excess := 0
+	for len(r.revisions)-excess > r.keptRevisions || r.kept > r.keptSize {
+		r.kept -= r.revisions[excess].size()
+		excess++
 	}
+	r.revisions = slices.Delete(r.revisions, 0, excess)
 }
 
 // Revision returns the current revision, 0 before the first publish.
