Bound the time for which the demo sends load

The demo's test ended within 20 s of wall clock only if the start took less than 13 s, which a busy machine need not give.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -35,6 +35,7 @@
 // A Demo is both deployments under load.
 type Demo struct {
 	duration time.Duration
+	longest  time.Duration
 	scale    float64
 	seed     uint64
 	progress io.Writer
@@ -50,6 +51,11 @@
 	return func(d *Demo) { d.duration = duration }
 }
 
+// WithLoadDuration bounds the time for which load is sent, so that the demo may end sooner.
+func WithLoadDuration(longest time.Duration) Option {
+	return func(d *Demo) { d.longest = longest }
+}
+
 // WithScale sets the share of the slots of the real deployments.
 func WithScale(scale float64) Option {
 	return func(d *Demo) { d.scale = scale }
@@ -133,6 +139,9 @@
 	if length < shortestLoad {
 		return Summary{}, errorx.TimeoutElapsed.New("the start left %v for the load, want at least %v", length, shortestLoad)
 	}
+	if d.longest > 0 {
+		length = min(length, d.longest)
+	}
 	third := (length / 3).Truncate(progressInterval)
 	times := measure.Times{Before: third, Trigger: third, After: third}
 	start := time.Now()
