--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -188,10 +188,14 @@
 		current = newLeadership(term, now)
 		c.changeLeadership(current)
 	}
+	var news bool
 	c.store.Read(func() {
 		current.configure(now, c.state.configuration.Revision(), c.state.configuration.Current())
+		news = current.hasNews(c.state.configuration.Revision(), c.state.quarantine.Version())
 	})
-	current.wake()
+	if news {
+		current.wake()
+	}
 }
 
 func (c *Control) changeLeadership(next *leadership) {
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -31,6 +31,7 @@
 	revision uint64
 	ended    bool
 	swept    time.Time
+	woken    wokenVersions
 }
 
 func newLeadership(term uint64, now time.Time) *leadership {
@@ -104,6 +105,24 @@
 	}
 }
 
+// A wokenVersions tells what all sessions were last woken for.
+type wokenVersions struct {
+	revision   uint64
+	quarantine uint64
+}
+
+// hasNews reports whether sessions have something to send that they were not woken for.
+func (l *leadership) hasNews(revision, quarantined uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	current := wokenVersions{revision: revision, quarantine: quarantined}
+	if l.woken == current {
+		return false
+	}
+	l.woken = current
+	return true
+}
+
 // configure sets the buckets of a revision, where it is newer than the last.
 func (l *leadership) configure(now time.Time, revision uint64, set configuration.Set) {
 	l.mu.Lock()
--- a/internal/daemon/link.go
+++ b/internal/daemon/link.go
@@ -13,10 +13,10 @@
 
 const (
 	kindControl      = "control"
-	heartbeatPeriod  = 300 * time.Millisecond
+	heartbeatPeriod  = 500 * time.Millisecond
 	askPeriod        = 20 * time.Millisecond
 	idlePeriod       = 200 * time.Millisecond
-	confirmTimeout   = 1200 * time.Millisecond
+	confirmTimeout   = 1500 * time.Millisecond
 	reconnectPause   = 50 * time.Millisecond
 	reconnectSpread  = 150 * time.Millisecond
 	maxQueuedReports = 4096
--- a/internal/daemon/linksession.go
+++ b/internal/daemon/linksession.go
@@ -8,12 +8,17 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"sapphirespread.example/internal/peer"
 	"sapphirespread.example/internal/peer/peerpb"
 	"sapphirespread.example/target"
 )
 
-const maxSentHeartbeats = 64
+const (
+	maxSentHeartbeats = 64
+	announcePeriod    = 900 * time.Millisecond
+)
 
 // A linkSession is one stream to a control instance.
 type linkSession struct {
@@ -24,6 +29,9 @@
 	sequence  uint64
 	confirmed time.Time
 	announced bool
+
+	lastAnnounce *peerpb.DaemonMessage
+	announcedAt  time.Time
 }
 
 // A sentHeartbeat is a heartbeat whose confirmation is awaited.
@@ -169,6 +177,7 @@
 	return nil
 }
 
+// announce renews the announcement where it is due, in one write with the heartbeat that follows.
 func (s *linkSession) announce(now time.Time) error {
 	said, incarnation, present := s.link.daemon.backend.at(now)
 	if !present && !s.announced {
@@ -181,8 +190,12 @@
 	case s.link.daemon.stopping.Load():
 		state = string(target.Draining)
 	}
-	s.announced = present
-	return s.stream.Send(s.announceMessage(said, incarnation, state))
+	message := s.announceMessage(said, incarnation, state)
+	if proto.Equal(message, s.lastAnnounce) && now.Sub(s.announcedAt) < announcePeriod {
+		return nil
+	}
+	s.announced, s.lastAnnounce, s.announcedAt = present, message, now
+	return s.stream.Buffer(message)
 }
 
 // stateLeft is the announced state of a backend server that is gone.
