--- a/internal/store/bench_test.go
+++ b/internal/store/bench_test.go
@@ -120,6 +120,7 @@
 func benchmarkProposers(b *testing.B, leader *process, proposers int) {
 	command := make([]byte, benchCommandBytes)
 	latencies := make([]time.Duration, b.N)
+	logBefore := leader.Status().LogBytes
 	var next atomic.Int64
 	var running sync.WaitGroup
 	b.ResetTimer()
@@ -137,6 +138,7 @@
 	running.Wait()
 	b.StopTimer()
 	slices.Sort(latencies)
+	b.ReportMetric(float64(leader.Status().LogBytes-logBefore)/float64(b.N), "log-bytes/op")
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "proposals/s")
 	b.ReportMetric(quantile(latencies, 0.5), "p50-ms")
 	b.ReportMetric(quantile(latencies, 0.99), "p99-ms")
--- a/internal/store/failure_test.go
+++ b/internal/store/failure_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -18,10 +19,11 @@
 
 var errDisk = errors.New("disk fault")
 
-// failingFolder fails all syncs of its files once it is broken.
+// failingFolder fails all syncs of its files once it is broken, and creates no new log while it is full.
 type failingFolder struct {
 	*journal.Folder
 	broken atomic.Bool
+	full   atomic.Bool
 }
 
 type failingFile struct {
@@ -35,6 +37,9 @@
 }
 
 func (f *failingFolder) Create(name string) (journal.File, error) {
+	if f.full.Load() && strings.HasPrefix(name, "log-") {
+		return nil, errDisk
+	}
 	file, err := f.Folder.Create(name)
 	return failingFile{file, f}, err
 }
@@ -248,3 +253,27 @@
 		c.stop()
 	})
 }
+
+func TestFullDiskDelaysSnapshotsAndLeavesNoFiles(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		folder, err := journal.NewFolder(t.TempDir())
+		if err != nil {
+			t.Fatal(err)
+		}
+		fsys := &failingFolder{Folder: folder}
+		c := newCluster(t, 1, store.WithFS(fsys), store.WithSnapshotBytes(512))
+		c.propose("first")
+		fsys.full.Store(true)
+		commands := c.proposeNumbered([]string{"first"}, 50)
+		synctest.Wait()
+		if names, err := folder.List(); err != nil || len(names) != 2 {
+			t.Errorf("with a full disk: files %v, %v", names, err)
+		}
+		before := c.instances[0].Status().SnapshotIndex
+		fsys.full.Store(false)
+		commands = c.proposeNumbered(commands, 100)
+		c.wait("a snapshot", func() bool { return c.instances[0].Status().SnapshotIndex > before })
+		c.waitForAll(commands...)
+		c.stop()
+	})
+}
--- a/internal/store/snapshotter.go
+++ b/internal/store/snapshotter.go
@@ -123,6 +123,9 @@
 // install replaces the state by a leader's snapshot; one being written here is dropped.
 func (s *Store) install(snapshot replica.Snapshot) error {
 	s.finishSnapshot()
+	if ready := s.snapshots.ready; ready != nil && ready.err == nil {
+		s.disk.journal.Discard(ready.file)
+	}
 	s.snapshots.ready = nil
 	written := s.write(snapshot)
 	if written.err != nil {
--- a/journal/snapshot.go
+++ b/journal/snapshot.go
@@ -29,6 +29,8 @@
 	next := j.generation + 1
 	log, size, err := createLog(j.fsys, logName(next), records)
 	if err != nil {
+		j.Discard(snapshot)
+		_ = j.fsys.Remove(logName(next))
 		return fmt.Errorf("creating log %d: %w", next, err)
 	}
 	if err := j.fsys.Rename(snapshot.name, snapshotName(next)); err != nil {
@@ -47,6 +49,11 @@
 	return nil
 }
 
+// Discard removes a written snapshot that is not put in force.
+func (j *Journal) Discard(snapshot *WrittenSnapshot) {
+	_ = j.fsys.Remove(snapshot.name)
+}
+
 // retire removes the files of the current generation; what stays is removed at the next Open.
 func (j *Journal) retire() {
 	_ = j.log.Close()
