--- a/replica/ready.go
+++ b/replica/ready.go
@@ -22,8 +22,3 @@
 	return len(r.Prompt) == 0 && r.HardState == nil && r.Snapshot == nil && len(r.Entries) == 0 &&
 		len(r.Messages) == 0 && len(r.Committed) == 0
 }
-
-// Persists reports whether something must be written.
-func (r Ready) Persists() bool {
-	return r.HardState != nil || r.Snapshot != nil || len(r.Entries) > 0
-}
