--- a/limit/holder.go
+++ b/limit/holder.go
@@ -85,7 +85,8 @@
 	return 0
 }
 
-// Idle returns the grants that ended: spent, run out, close to running out, or not used for a while. Each
+// Idle returns the grants that ended: spent, run out, close to running out, or not used for a while. Send them with
+// each batch of asks: until then the owner counts spent tokens as open, and the burst is short of them. Each
 // return must reach the owner at most once in effect, which the owner sees to.
 func (h *Holder) Idle(now time.Time) []Return {
 	var returns []Return
--- a/limit/ledger.go
+++ b/limit/ledger.go
@@ -8,6 +8,7 @@
 	smallestPortion    = 4 // tokens
 	minimumRetryAfter  = time.Millisecond
 	maximumRetryAfter  = time.Minute
+	unknownRetryAfter  = time.Second // the owner may learn of a workspace later than a daemon
 	holderActiveFor    = time.Second
 	holderRememberedBy = 10 * time.Second
 )
--- a/limit/owner.go
+++ b/limit/owner.go
@@ -61,7 +61,10 @@
 // incarnations of one daemon. A repeated ask is not answered again.
 func (o *Owner) Ask(now time.Time, holder string, ask Ask) (Grant, bool) {
 	l, known := o.ledgers[ask.Workspace]
-	if !known || l.removed || l.bucket.Burst == 0 {
+	if !known {
+		return Grant{ID: ask.ID, Workspace: ask.Workspace, RetryAfter: unknownRetryAfter}, true
+	}
+	if l.removed || l.bucket.Burst == 0 {
 		return Grant{ID: ask.ID, Workspace: ask.Workspace, RetryAfter: maximumRetryAfter}, true
 	}
 	ask = ask.bounded(l.bucket.Burst)
