--- /dev/null
+++ b/retry/bench_test.go
@@ -0,0 +1,21 @@
+package retry_test
+
+import (
+	"testing"
+
+	"sapphirespread.example/retry"
+)
+
+// BenchmarkCall is what each call costs: a part that is moved and returned, and a success.
+func BenchmarkCall(b *testing.B) {
+	budget := retry.NewBudget(0.1, 1)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			allowance := retry.NewAllowance(2)
+			part := allowance.Move(1)
+			part.Return(part.Size())
+			budget.Success(start)
+		}
+	})
+}
