Drop two settings that nothing reads

region and backend-server were accepted and had no effect: a backend server's address comes with its announcement, and nothing decides by region yet. A setting that is ignored misleads operators.

--- a/internal/settings/checkprocess.go
+++ b/internal/settings/checkprocess.go
@@ -13,16 +13,13 @@
 	c.name("name", d.Name)
 	c.name("cluster", d.Cluster)
 	c.name("failure-domain", d.FailureDomain)
-	if d.Region != "" {
-		c.name("region", d.Region)
-	}
 	c.address("callers-listen", d.CallersListen)
 	c.address("peer-listen", d.PeerListen)
 	c.address("subcalls-listen", d.SubcallsListen)
 	c.address("operators-listen", d.OperatorsListen)
 	c.distinct(
-		[]string{"callers-listen", "peer-listen", "subcalls-listen", "operators-listen", "backend-server"},
-		[]netip.AddrPort{d.CallersListen, d.PeerListen, d.SubcallsListen, d.OperatorsListen, d.BackendServer},
+		[]string{"callers-listen", "peer-listen", "subcalls-listen", "operators-listen"},
+		[]netip.AddrPort{d.CallersListen, d.PeerListen, d.SubcallsListen, d.OperatorsListen},
 	)
 	c.advertised(d.PeerListen, d.PeerAdvertise)
 	c.controls(d.Control)
@@ -54,9 +51,6 @@
 	c.name("name", s.Name)
 	c.name("cluster", s.Cluster)
 	c.name("failure-domain", s.FailureDomain)
-	if s.Region != "" {
-		c.name("region", s.Region)
-	}
 	c.address("peer-listen", s.PeerListen)
 	c.address("operators-listen", s.OperatorsListen)
 	c.distinct(
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -15,7 +15,6 @@
 	Name            string         `toml:"name"`
 	Cluster         string         `toml:"cluster"`
 	FailureDomain   string         `toml:"failure-domain"`
-	Region          string         `toml:"region"`
 	PeerListen      netip.AddrPort `toml:"peer-listen"`
 	PeerAdvertise   netip.AddrPort `toml:"peer-advertise"`
 	OperatorsListen netip.AddrPort `toml:"operators-listen"`
--- a/internal/settings/daemon.go
+++ b/internal/settings/daemon.go
@@ -12,14 +12,12 @@
 	Name            string           `toml:"name"`
 	Cluster         string           `toml:"cluster"`
 	FailureDomain   string           `toml:"failure-domain"`
-	Region          string           `toml:"region"`
 	CallersListen   netip.AddrPort   `toml:"callers-listen"`
 	PeerListen      netip.AddrPort   `toml:"peer-listen"`
 	PeerAdvertise   netip.AddrPort   `toml:"peer-advertise"`
 	SubcallsListen  netip.AddrPort   `toml:"subcalls-listen"`
 	OperatorsListen netip.AddrPort   `toml:"operators-listen"`
 	Control         []netip.AddrPort `toml:"control"`
-	BackendServer   netip.AddrPort   `toml:"backend-server"`
 	Freshness       time.Duration    `toml:"freshness"`
 	Timeouts        Timeouts         `toml:"timeouts"`
 	Log             Log              `toml:"log"`
