--- a/configuration/registryoption.go
+++ b/configuration/registryoption.go
@@ -1,7 +1,7 @@
 package configuration
 
 const (
-	defaultMaxSize       = 4 << 20
+	defaultMaxSize       = 3 << 20
 	defaultKeptRevisions = 4096
 	defaultKeptSize      = 64 << 20
 	defaultKeptAnswers   = 16384
--- a/configuration/set.go
+++ b/configuration/set.go
@@ -28,11 +28,7 @@
 
 // Size returns the bytes that the set's objects take when they are encoded.
 func (s Set) Size() int64 {
-	size := int64(0)
-	for _, o := range s.Objects() {
-		size += int64(len(encodeObject(o)))
-	}
-	return size
+	return sizeOf(s.Changes(Set{}))
 }
 
 func (s *Set) add(o Object) {
