--- a/configuration/registry.go
+++ b/configuration/registry.go
@@ -28,7 +28,7 @@
 // NewRegistry returns a registry at revision 0 with an empty set.
 func NewRegistry(opts ...RegistryOption) *Registry {
 	r := &Registry{
-		maxSize:       defaultMaxSize,
+		maxSize:       DefaultMaxSize,
 		keptRevisions: defaultKeptRevisions,
 		keptSize:      defaultKeptSize,
 		keptAnswers:   defaultKeptAnswers,
--- a/configuration/registryoption.go
+++ b/configuration/registryoption.go
@@ -1,9 +1,11 @@
 package configuration
 
+// DefaultMaxSize is the bytes that a set's objects may take in a log command.
+const DefaultMaxSize = 3 << 20
+
 const (
-	defaultMaxSize       = 3 << 20
 	defaultKeptRevisions = 4096
-	defaultKeptSize      = 64 << 20
+	defaultKeptSize      = 63 << 20
 	defaultKeptAnswers   = 16384
 )
 
