--- a/internal/load/tally.go
+++ b/internal/load/tally.go
@@ -27,8 +27,13 @@
 // WrongfullyRefused returns how many attempts within the rate were refused: for their rate at any
 // time, or for another reason in a steady time.
 func (t Tally) WrongfullyRefused() int64 {
+	return t.WrongfullyOverRate() + t.SteadyRefused
+}
+
+// WrongfullyOverRate returns how many attempts were refused for their rate beyond those that were over it.
+func (t Tally) WrongfullyOverRate() int64 {
 	let := t.Attempts - t.RateRefused
-	return max(t.Within-let, 0) + t.SteadyRefused
+	return max(t.Within-let, 0)
 }
 
 func (t *Tally) add(other Tally) {
--- a/internal/measure/judge.go
+++ b/internal/measure/judge.go
@@ -97,6 +97,7 @@
 	for _, tally := range tallies {
 		result.Within += tally.Within
 		result.WrongfulRefusals += tally.WrongfullyRefused()
+		result.WrongfulOverRate += tally.WrongfullyOverRate()
 	}
 	if result.Within > 0 {
 		result.WrongfulRatio = float64(result.WrongfulRefusals) / float64(result.Within)
--- a/internal/measure/result.go
+++ b/internal/measure/result.go
@@ -25,7 +25,9 @@
 	WorstWorkspace string  `json:"worst-workspace"`
 	WorstRatio     float64 `json:"worst-ratio"`
 	// WrongfulRefusals are refused attempts among Within, those within the rate and burst.
-	WrongfulRefusals int64   `json:"wrongful-refusals"`
+	WrongfulRefusals int64 `json:"wrongful-refusals"`
+	// WrongfulOverRate are those of them that were refused for their rate.
+	WrongfulOverRate int64   `json:"wrongful-over-rate"`
 	Within           int64   `json:"within"`
 	WrongfulRatio    float64 `json:"wrongful-ratio"`
 	// Repeated counts requests that ran more than once although they may not.
