Test that each token is spent or returned once under concurrent use

Cause: only single-threaded use of the holder was tested. Change: goroutines spend while grants come, run out and go back; what was spent and returned must be what was granted. Seen to fail first with a plain store in place of the compare-and-swap, and with a load and store in place of the swap.

--- /dev/null
+++ b/limit/concurrency_test.go
@@ -0,0 +1,64 @@
+package limit_test
+
+import (
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"sapphirespread.example/limit"
+)
+
+// TestEachTokenIsSpentOrReturnedOnce spends from several goroutines while grants come, run out and go back.
+func TestEachTokenIsSpentOrReturnedOnce(t *testing.T) {
+	const spenders, rounds, waiting, tokens, triesARound = 4, 300, 40, 50, 40
+	h := limit.NewHolder()
+	var spent, elapsed, tries atomic.Int64
+	var stop atomic.Bool
+	var group sync.WaitGroup
+	for i := range spenders {
+		group.Go(func() {
+			for !stop.Load() {
+				tries.Add(1)
+				if n := int64(i%2 + 1); h.Spend(after(time.Duration(elapsed.Load())), workspace, n) {
+					spent.Add(n)
+				}
+			}
+		})
+	}
+	for range waiting {
+		h.Wait(epoch, workspace)
+	}
+	granted := int64(0)
+	returned := make(map[uint64]int64)
+	collect := func(returns []limit.Return) {
+		for _, r := range returns {
+			if _, twice := returned[r.GrantID]; twice {
+				t.Errorf("grant %d returned twice", r.GrantID)
+			}
+			returned[r.GrantID] = r.Tokens
+		}
+	}
+	for range rounds {
+		now := after(time.Duration(elapsed.Add(int64(20 * time.Millisecond))))
+		for _, ask := range h.Asks(now) {
+			h.Accept(now, limit.Grant{ID: ask.ID, Workspace: workspace, Tokens: tokens, Duration: 30 * time.Millisecond})
+			granted += tokens
+		}
+		for seen := tries.Load(); tries.Load() < seen+triesARound; {
+			runtime.Gosched()
+		}
+		collect(h.Idle(now))
+	}
+	stop.Store(true)
+	group.Wait()
+	collect(h.Drop())
+	back := int64(0)
+	for _, n := range returned {
+		back += n
+	}
+	if granted == 0 || spent.Load()+back != granted {
+		t.Fatalf("%d spent and %d returned of %d granted", spent.Load(), back, granted)
+	}
+}
