--- a/claim/snapshot.go
+++ b/claim/snapshot.go
@@ -15,21 +15,23 @@
 // MarshalBinary returns the snapshot of the book. Books with the same claims have the same snapshot.
 func (b *Book) MarshalBinary() ([]byte, error) {
 	encoder := proto.MarshalOptions{Deterministic: true}
-	encoded, err := encoder.Marshal(&claimpb.Snapshot{AtNs: b.at.UnixNano(), Sequence: b.sequence})
+	room := make([]byte, 0, len(b.entries)*entryBytes+int(b.outcomeBytes))
+	encoded, err := encoder.MarshalAppend(room, &claimpb.Snapshot{AtNs: b.at.UnixNano(), Sequence: b.sequence})
 	if err != nil {
 		return nil, fmt.Errorf("encoding the claim snapshot: %w", err)
 	}
-	var buffer []byte
+	var message claimpb.Entry
 	for _, e := range b.order {
 		if e.dropped {
 			continue
 		}
-		buffer, err = encoder.MarshalAppend(buffer[:0], e.message())
+		e.fill(&message)
+		encoded = protowire.AppendTag(encoded, entriesField, protowire.BytesType)
+		encoded = protowire.AppendVarint(encoded, uint64(encoder.Size(&message)))
+		encoded, err = encoder.MarshalAppend(encoded, &message)
 		if err != nil {
 			return nil, fmt.Errorf("encoding a claim of workspace %q: %w", e.key.Workspace, err)
 		}
-		encoded = protowire.AppendTag(encoded, entriesField, protowire.BytesType)
-		encoded = protowire.AppendBytes(encoded, buffer)
 	}
 	return encoded, nil
 }
@@ -58,24 +60,26 @@
 	return nil
 }
 
-const entriesField protowire.Number = 3
+const (
+	entriesField protowire.Number = 3
+	entryBytes                    = 192 // room for an entry without its outcome
+)
 
-func (e *entry) message() *claimpb.Entry {
-	message := &claimpb.Entry{
-		Workspace:      e.key.Workspace,
-		Route:          e.key.Route,
-		IdempotencyKey: e.key.IdempotencyKey,
-		Attempt:        e.attempt,
-		RequestHash:    e.hash[:],
-		ClaimedAtNs:    e.claimedAt,
-		ExpiresAtNs:    e.expiresAt,
-		Sequence:       e.sequence,
-		State:          claimpb.EntryState(e.state),
-	}
+// fill sets all fields of a message that is used for one entry after the other.
+func (e *entry) fill(message *claimpb.Entry) {
+	message.Workspace = e.key.Workspace
+	message.Route = e.key.Route
+	message.IdempotencyKey = e.key.IdempotencyKey
+	message.Attempt = e.attempt
+	message.RequestHash = e.hash[:]
+	message.ClaimedAtNs = e.claimedAt
+	message.ExpiresAtNs = e.expiresAt
+	message.Sequence = e.sequence
+	message.State = claimpb.EntryState(e.state)
+	message.Outcome = nil
 	if e.outcome != nil {
 		message.Outcome = e.outcome.message()
 	}
-	return message
 }
 
 func (o *storedOutcome) message() *claimpb.Outcome {
