--- a/configuration/changes.go
+++ b/configuration/changes.go
@@ -1,6 +1,9 @@
 package configuration
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+)
 
 // Changes returns what leads from the set from to s, by kind and then by name.
 func (s Set) Changes(from Set) []Change {
@@ -57,6 +60,9 @@
 
 // object returns the object that the change sets, or nil where it removes one.
 func (c Change) object() (Object, error) {
+	if !slices.Contains(Kinds(), c.Kind) {
+		return nil, fmt.Errorf("the kind %q", c.Kind)
+	}
 	if c.Removed {
 		return nil, nil
 	}
--- a/configuration/view_test.go
+++ b/configuration/view_test.go
@@ -127,6 +127,7 @@
 	for _, changes := range [][]configuration.Change{
 		oneWorkspace("oslo"),
 		{{Kind: "colour", Name: "red", Body: []byte(`{}`)}},
+		{{Kind: "colour", Name: "red", Removed: true}},
 		{{Kind: configuration.KindLimit, Name: "a", Body: []byte(`{"name":"b","rate":1,"burst":1}`)}},
 		{{Kind: configuration.KindLimit, Name: "a", Body: []byte(`{"name":"a","rates":1}`)}},
 	} {
