Confirm only heartbeats that came before the revision was read

Cause: a heartbeat that arrived while membership or quarantine was being written was confirmed with the revision read before it, which could lengthen the freshness lease by the time of those writes. The setting body-stall had no reader. Ruled out: reading the revision again at the confirmation (it could then name one that the daemon has not been sent). Change: the heartbeat is taken first; a body that makes no progress for body-stall fails. Conclusion: the lease starts no later than the revision was read.

--- a/internal/control/sessionwrite.go
+++ b/internal/control/sessionwrite.go
@@ -37,8 +37,10 @@
 	return s.stream.Send(message)
 }
 
-// flush sends new configuration, targets and quarantine, and only then a confirmation of them.
+// flush sends new configuration, targets and quarantine, and only then confirms the heartbeat that had come
+// before they were read.
 func (s *session) flush(now time.Time) error {
+	heartbeat := s.takeHeartbeat()
 	revision, err := s.sendConfiguration()
 	if err != nil {
 		return err
@@ -49,7 +51,7 @@
 	if err := s.sendQuarantine(now); err != nil {
 		return err
 	}
-	return s.sendConfirm(revision)
+	return s.sendConfirm(heartbeat, revision)
 }
 
 func (s *session) sendConfiguration() (uint64, error) {
@@ -172,12 +174,17 @@
 	return s.sent.quarantine >= version
 }
 
-// sendConfirm confirms the latest heartbeat, where this instance still holds the leader lease.
-func (s *session) sendConfirm(revision uint64) error {
+// takeHeartbeat returns the latest heartbeat that is to be confirmed, or nil.
+func (s *session) takeHeartbeat() *peerpb.Heartbeat {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	heartbeat := s.confirm
 	s.confirm = nil
-	s.mu.Unlock()
+	return heartbeat
+}
+
+// sendConfirm confirms heartbeat, where this instance still holds the leader lease.
+func (s *session) sendConfirm(heartbeat *peerpb.Heartbeat, revision uint64) error {
 	if heartbeat == nil {
 		return nil
 	}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -154,7 +154,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(c.deadline.Add(time.Second))
+	r.Body = &stallReader{ReadCloser: r.Body, controller: controller, stall: d.settings.Timeouts.BodyStall, deadline: c.deadline}
 	if refused := c.takeBody(r, controller); refused != nil {
 		d.refuseCaller(w, refused)
 		return
