--- a/internal/store/machine.go
+++ b/internal/store/machine.go
@@ -6,7 +6,7 @@
 type Machine interface {
 	// Apply changes the state by a command and returns its result; at never decreases along the log.
 	Apply(at time.Time, index uint64, command []byte) (result []byte)
-	// Snapshot returns the whole state.
+	// Snapshot returns the whole state without changing it; it may run beside Read but not beside Apply.
 	Snapshot() ([]byte, error)
 	// Restore replaces the whole state.
 	Restore(snapshot []byte) error
