Carry any header value, grant under the lease only, queue for tokens by limit.Queue

Cause: found by reading the wiring: header values and queries that are not UTF-8 made every message that carried them fail; the owner of the rates granted without checking the leader lease at the same time that it was given, so a leader that was frozen and resumed could grant beside the next one; new leaders took asks before they knew the buckets; any denial refused all waiting calls; the daemon did not use claim.Attempt; a store that had stopped left its process running. Ruled out: text fields with a replacement for what is not UTF-8 (the backend server must get what the caller sent). Change: bytes on the wire; the lease is checked at the time handed to the owner; buckets are set before a leadership begins; calls wait in limit.Queue and are refused only where their wait ends before a token can come; claims run through claim.Attempt, which starts when a connection to the backend server is there; control ends when its store has.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -98,6 +98,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return c.peers.Serve(c.listeners.Peers) })
 	group.Go(func() error { return serveHTTP(operators, c.listeners.Operators) })
+	group.Go(func() error { return c.watchStore(ctx) })
 	group.Go(func() error {
 		c.batcher.run(ctx)
 		return nil
@@ -116,6 +117,19 @@
 	return group.Wait()
 }
 
+// watchStore ends the process where the store has stopped by itself, such as after a failed sync.
+func (c *Control) watchStore(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-c.store.Done():
+	}
+	if ctx.Err() != nil {
+		return nil
+	}
+	return fmt.Errorf("keeping the replicated state: %w", c.store.Err())
+}
+
 func (c *Control) listen() error {
 	if c.listeners.Peers == nil {
 		listener, err := net.Listen("tcp", c.settings.PeerListen.String())
@@ -165,7 +179,7 @@
 		case <-c.store.Changed():
 			c.follow(time.Now())
 		case now := <-polls.C:
-			if l := c.leadership.Load(); l != nil {
+			if l := c.leadership.Load(); l != nil && c.leadsAt(l.term, now) {
 				l.poll(now)
 			}
 		case now := <-expiries.C:
@@ -184,15 +198,19 @@
 		}
 		return
 	}
-	if term := c.store.Term(); current == nil || current.term != term {
+	term := c.store.Term()
+	begins := current == nil || current.term != term
+	if begins {
 		current = newLeadership(term, now)
-		c.changeLeadership(current)
 	}
 	var news bool
 	c.store.Read(func() {
 		current.configure(now, c.state.configuration.Revision(), c.state.configuration.Current())
 		news = current.hasNews(c.state.configuration.Revision(), c.state.quarantine.Version())
 	})
+	if begins {
+		c.changeLeadership(current)
+	}
 	if news {
 		current.wake()
 	}
@@ -244,7 +262,12 @@
 
 // leads reports whether this instance holds the leader lease of term now.
 func (c *Control) leads(term uint64) bool {
-	return c.store.Lease(time.Now()) && c.store.Term() == term
+	return c.leadsAt(term, time.Now())
+}
+
+// leadsAt reports whether this instance holds the leader lease of term at now.
+func (c *Control) leadsAt(term uint64, now time.Time) bool {
+	return c.store.Lease(now) && c.store.Term() == term
 }
 
 func (c *Control) stop(operators *operatorsServer) {
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -158,7 +158,11 @@
 	s.wake()
 }
 
+// ask grants tokens only at a time at which this instance holds the leader lease, so that no other owner grants.
 func (s *session) ask(now time.Time, asks *peerpb.Asks) {
+	if !s.control.leadsAt(s.leadership.term, now) {
+		return
+	}
 	var grants []limit.Grant
 	s.leadership.ownerMu.Lock()
 	for _, ask := range asks.GetAsks() {
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -111,7 +111,11 @@
 		BodyKept: encoded.GetBodyKept(),
 	}
 	for _, line := range encoded.GetHeaders() {
-		outcome.Headers = append(outcome.Headers, claim.Header{Name: line.GetName(), Values: line.GetValues()})
+		header := claim.Header{Name: line.GetName()}
+		for _, value := range line.GetValues() {
+			header.Values = append(header.Values, string(value))
+		}
+		outcome.Headers = append(outcome.Headers, header)
 	}
 	return outcome
 }
@@ -123,7 +127,11 @@
 		BodyKept: outcome.BodyKept,
 	}
 	for _, line := range outcome.Headers {
-		encoded.Headers = append(encoded.Headers, &peerpb.Header{Name: line.Name, Values: line.Values})
+		header := &peerpb.Header{Name: line.Name}
+		for _, value := range line.Values {
+			header.Values = append(header.Values, []byte(value))
+		}
+		encoded.Headers = append(encoded.Headers, header)
 	}
 	return encoded
 }
--- a/internal/daemon/claim.go
+++ b/internal/daemon/claim.go
@@ -22,38 +22,41 @@
 // A heldClaim is the right to run one request that may not be repeated.
 type heldClaim struct {
 	link     *link
-	key      claim.Key
-	attempt  string
+	attempt  *claim.Attempt
 	kept     bytes.Buffer
 	overflow bool
 }
 
 // claim wins the right to run c, or returns the stored answer of an earlier run, or a refusal.
 func (d *Daemon) claim(ctx context.Context, c *call) (*heldClaim, *answer, *attemptError) {
-	held := &heldClaim{
-		link:    d.link,
-		key:     claim.Key{Workspace: c.workspace, Route: c.route, IdempotencyKey: c.idempotencyKey},
-		attempt: uuid.NewString(),
-	}
+	key := claim.Key{Workspace: c.workspace, Route: c.route, IdempotencyKey: c.idempotencyKey}
+	held := &heldClaim{link: d.link, attempt: claim.NewAttempt(uuid.NewString(), key, c.requestHash, claimRunBound)}
 	ctx, cancel := context.WithTimeout(ctx, claimWaitBound)
 	defer cancel()
-	sentAt := time.Now()
-	state, outcome, err := d.link.claim(ctx, held.key, held.attempt, c.requestHash)
+	held.attempt.Ask(time.Now())
+	state, outcome, err := d.link.claim(ctx, held.attempt)
 	if err != nil {
 		held.release()
 		return nil, nil, refuse(refusal.ClaimUnavailable, err.Error())
 	}
+	held.attempt.Answer(state)
 	if state != claim.Won {
 		replay, refused := answerOfClaim(state, outcome)
 		return nil, replay, refused
 	}
-	if time.Since(sentAt) > claimRunBound {
-		held.release()
-		return nil, nil, refuse(refusal.ClaimUnavailable, "the claim was granted too late")
-	}
 	return held, nil, nil
 }
 
+// mayRun reports whether the claim was won recently enough to run at now.
+func (h *heldClaim) mayRun(now time.Time) bool {
+	return h.attempt.MayRun(now)
+}
+
+// start notes that the request runs from now on, so that the claim can no longer be given back.
+func (h *heldClaim) start(now time.Time) {
+	h.attempt.Start(now)
+}
+
 // answerOfClaim returns what a request that did not win its claim is answered.
 func answerOfClaim(state claim.State, outcome *claim.Outcome) (*answer, *attemptError) {
 	switch state {
@@ -118,15 +121,23 @@
 			outcome.Headers = append(outcome.Headers, claim.Header{Name: name, Values: values})
 		}
 	}
-	h.link.finishClaim(h.key, h.attempt, outcome)
+	h.tell(outcome)
 }
 
 // finishUnknown stores that the run may have happened and that its outcome is not known.
 func (h *heldClaim) finishUnknown() {
-	h.link.finishClaim(h.key, h.attempt, claim.Outcome{})
+	h.tell(claim.Outcome{})
+}
+
+func (h *heldClaim) tell(outcome claim.Outcome) {
+	if h.attempt.Finish() {
+		h.link.finishClaim(h.attempt, outcome)
+	}
 }
 
 // release gives the claim back before the run.
 func (h *heldClaim) release() {
-	h.link.releaseClaim(h.key, h.attempt)
+	if h.attempt.Release() {
+		h.link.releaseClaim(h.attempt)
+	}
 }
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/uuid"
 
+	"sapphirespread.example/claim"
 	"sapphirespread.example/configuration"
 	"sapphirespread.example/quarantine"
 	"sapphirespread.example/refusal"
@@ -135,17 +136,16 @@
 	}
 }
 
-const maxIdempotencyKeyBytes = 255
-
 func (c *call) takeIdempotencyKey(r *http.Request) *attemptError {
 	given := r.Header.Get(headerIdempotencyKey)
 	if given == "" {
 		return refuse(refusal.IdempotencyKeyMissing, "")
 	}
-	if len(given) > maxIdempotencyKeyBytes || len(r.Header.Values(headerIdempotencyKey)) != 1 {
+	c.idempotencyKey = given
+	key := claim.Key{Workspace: c.workspace, Route: c.route, IdempotencyKey: given}
+	if !key.Valid() || len(r.Header.Values(headerIdempotencyKey)) != 1 {
 		return refuse(refusal.IdempotencyKeyInvalid, "")
 	}
-	c.idempotencyKey = given
 	return nil
 }
 
--- a/internal/daemon/link.go
+++ b/internal/daemon/link.go
@@ -9,13 +9,13 @@
 	"time"
 
 	"sapphirespread.example/internal/peer/peerpb"
+	"sapphirespread.example/limit"
 )
 
 const (
 	kindControl      = "control"
 	heartbeatPeriod  = 500 * time.Millisecond
-	askPeriod        = 20 * time.Millisecond
-	idlePeriod       = 200 * time.Millisecond
+	askPeriod        = limit.PollInterval
 	confirmTimeout   = 1500 * time.Millisecond
 	reconnectPause   = 50 * time.Millisecond
 	reconnectSpread  = 150 * time.Millisecond
--- a/internal/daemon/linkanswers.go
+++ b/internal/daemon/linkanswers.go
@@ -75,12 +75,13 @@
 }
 
 // claim asks the control quorum for the right to run a request.
-func (l *link) claim(ctx context.Context, key claim.Key, attempt string, hash [32]byte) (claim.State, *claim.Outcome, error) {
+func (l *link) claim(ctx context.Context, attempt *claim.Attempt) (claim.State, *claim.Outcome, error) {
 	if l.attachedTo() == "" {
 		return "", nil, errNoControl
 	}
 	id := l.nextID.Add(1)
-	request := &peerpb.ClaimRequest{Id: id, Key: encodeClaimKey(key), Attempt: attempt, RequestHash: hash[:]}
+	hash := attempt.RequestHash()
+	request := &peerpb.ClaimRequest{Id: id, Key: encodeClaimKey(attempt.Key()), Attempt: attempt.Name(), RequestHash: hash[:]}
 	answer, err := l.exchange(ctx, id, &peerpb.DaemonMessage{Body: &peerpb.DaemonMessage_Claim{Claim: request}})
 	if err != nil {
 		return "", nil, err
@@ -102,7 +103,7 @@
 		BodyKept: encoded.GetBodyKept(),
 	}
 	for _, line := range encoded.GetHeaders() {
-		outcome.Headers = append(outcome.Headers, claim.Header{Name: line.GetName(), Values: line.GetValues()})
+		outcome.Headers = append(outcome.Headers, claim.Header{Name: line.GetName(), Values: toStrings(line.GetValues())})
 	}
 	return outcome
 }
@@ -114,20 +115,20 @@
 		BodyKept: outcome.BodyKept,
 	}
 	for _, line := range outcome.Headers {
-		encoded.Headers = append(encoded.Headers, &peerpb.Header{Name: line.Name, Values: line.Values})
+		encoded.Headers = append(encoded.Headers, &peerpb.Header{Name: line.Name, Values: toBytes(line.Values)})
 	}
 	return encoded
 }
 
 // finishClaim stores the outcome of a claimed run.
-func (l *link) finishClaim(key claim.Key, attempt string, outcome claim.Outcome) {
-	finish := &peerpb.ClaimFinish{Key: encodeClaimKey(key), Attempt: attempt, Outcome: encodeOutcome(outcome)}
+func (l *link) finishClaim(attempt *claim.Attempt, outcome claim.Outcome) {
+	finish := &peerpb.ClaimFinish{Key: encodeClaimKey(attempt.Key()), Attempt: attempt.Name(), Outcome: encodeOutcome(outcome)}
 	l.enqueue(&peerpb.DaemonMessage{Body: &peerpb.DaemonMessage_ClaimFinish{ClaimFinish: finish}})
 }
 
 // releaseClaim gives a claim back whose request did not run and will not.
-func (l *link) releaseClaim(key claim.Key, attempt string) {
-	release := &peerpb.ClaimRelease{Key: encodeClaimKey(key), Attempt: attempt}
+func (l *link) releaseClaim(attempt *claim.Attempt) {
+	release := &peerpb.ClaimRelease{Key: encodeClaimKey(attempt.Key()), Attempt: attempt.Name()}
 	l.enqueue(&peerpb.DaemonMessage{Body: &peerpb.DaemonMessage_ClaimRelease{ClaimRelease: release}})
 }
 
--- a/internal/daemon/linkgrants.go
+++ b/internal/daemon/linkgrants.go
@@ -7,9 +7,13 @@
 	"sapphirespread.example/limit"
 )
 
-// ask asks for the tokens that demand calls for.
+// ask returns tokens that are not wanted, and asks for those that demand calls for.
 func (s *linkSession) ask() error {
-	wanted := s.link.daemon.holder.Asks(time.Now())
+	now := time.Now()
+	if err := s.sendReturns(s.link.daemon.holder.Idle(now)); err != nil {
+		return err
+	}
+	wanted := s.link.daemon.holder.Asks(now)
 	if len(wanted) == 0 {
 		return nil
 	}
@@ -25,10 +29,6 @@
 	return s.stream.Send(&peerpb.DaemonMessage{Body: &peerpb.DaemonMessage_Asks{Asks: asks}})
 }
 
-func (s *linkSession) returnIdle() error {
-	return s.sendReturns(s.link.daemon.holder.Idle(time.Now()))
-}
-
 func (s *linkSession) sendReturns(unspent []limit.Return) error {
 	if len(unspent) == 0 {
 		return nil
@@ -62,7 +62,7 @@
 			continue
 		}
 		if grant.RetryAfter > 0 {
-			d.tokenWait.refuseAll(grant.Workspace)
+			d.tokenWait.refuseBefore(now.Add(grant.RetryAfter), grant.Workspace)
 		}
 	}
 }
--- a/internal/daemon/linksession.go
+++ b/internal/daemon/linksession.go
@@ -107,8 +107,6 @@
 	defer heartbeats.Stop()
 	asks := time.NewTicker(askPeriod)
 	defer asks.Stop()
-	idle := time.NewTicker(idlePeriod)
-	defer idle.Stop()
 	err := s.heartbeat()
 	for err == nil {
 		select {
@@ -124,8 +122,6 @@
 			err = errors.Join(s.ask(), s.heartbeatIfNew())
 		case <-asks.C:
 			err = s.ask()
-		case <-idle.C:
-			err = s.returnIdle()
 		}
 	}
 	return err
--- a/internal/daemon/local.go
+++ b/internal/daemon/local.go
@@ -80,13 +80,18 @@
 		r.claim = claim
 	}
 	if !time.Now().Before(r.call.deadline) || ctx.Err() != nil {
-		r.releaseClaim()
-		r.finish(true, "")
-		return nil, refuse(refusal.DeadlineUnreachable, "the deadline passed before the request ran")
+		return nil, r.giveUp(refuse(refusal.DeadlineUnreachable, "the deadline passed before the request ran"))
 	}
 	return r.send(ctx)
 }
 
+// giveUp ends an admitted run whose request no backend server has seen.
+func (r *localRun) giveUp(refused *attemptError) *attemptError {
+	r.releaseClaim()
+	r.finish(true, "")
+	return refused
+}
+
 func (r *localRun) releaseClaim() {
 	if r.claim != nil {
 		r.claim.release()
@@ -100,17 +105,22 @@
 	r.token = r.daemon.tokens.issue(r.call)
 	watched, refused := r.daemon.watchRun(ctx, r.call, r.said.Name)
 	if refused != nil {
-		r.releaseClaim()
-		r.finish(true, "")
-		return nil, refused
+		return nil, r.giveUp(refused)
 	}
 	r.watched = watched
+	startsAt := time.Now()
+	if r.claim != nil && !r.claim.mayRun(startsAt) {
+		return nil, r.giveUp(refuse(refusal.ClaimUnavailable, "the claim was granted too late"))
+	}
 	var connected atomic.Bool
-	request, err := r.request(ctx, &connected)
+	request, err := r.request(ctx, func() {
+		connected.Store(true)
+		if r.claim != nil {
+			r.claim.start(startsAt)
+		}
+	})
 	if err != nil {
-		r.releaseClaim()
-		r.finish(true, "")
-		return nil, refuse(refusal.MalformedRequest, err.Error())
+		return nil, r.giveUp(refuse(refusal.MalformedRequest, err.Error()))
 	}
 	response, err := r.daemon.backend.transport.RoundTrip(request)
 	if err != nil {
@@ -119,13 +129,14 @@
 	return r.answer(response), nil
 }
 
-func (r *localRun) request(ctx context.Context, connected *atomic.Bool) (*http.Request, error) {
+// request makes the request to the backend server; connected is called before its first byte is sent.
+func (r *localRun) request(ctx context.Context, connected func()) (*http.Request, error) {
 	c := r.call
 	body, err := c.body.open()
 	if err != nil {
 		return nil, err
 	}
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected() }}
 	ctx = httptrace.WithClientTrace(ctx, trace)
 	request := &http.Request{
 		Method:        c.head.method,
--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -153,7 +153,6 @@
 peer-listen = %q
 subcalls-listen = %q
 operators-listen = %q
-backend-server = "127.0.0.1:1"
 control = [%q]
 `, name, d.callers, freeAddress(c.t), d.subcalls, operators, c.peer))
 	d.process = startProcess(c.t, "daemon", path)
--- a/internal/daemon/remote.go
+++ b/internal/daemon/remote.go
@@ -86,7 +86,7 @@
 		Method:            c.head.method,
 		Host:              c.head.host,
 		Path:              c.head.path,
-		Query:             c.head.query,
+		Query:             []byte(c.head.query),
 		Headers:           encodeHeader(c.head.header),
 		ContentLength:     c.head.contentLength,
 		IdempotencyKey:    c.idempotencyKey,
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -40,7 +40,7 @@
 			method:        head.GetMethod(),
 			host:          head.GetHost(),
 			path:          head.GetPath(),
-			query:         head.GetQuery(),
+			query:         string(head.GetQuery()),
 			header:        decodeHeader(head.GetHeaders()),
 			contentLength: head.GetContentLength(),
 			trailerNames:  head.GetTrailerNames(),
--- a/internal/daemon/tokenwait.go
+++ b/internal/daemon/tokenwait.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"container/list"
 	"context"
 	"sync"
 	"time"
@@ -11,38 +10,43 @@
 )
 
 const (
-	maxTokenWait      = 3 * time.Second
-	maxWaitersAHolder = 1024
-	tokensACall       = 1
-	deadlineParts     = 2
+	maxTokenWait  = 3 * time.Second
+	tokensACall   = 1
+	deadlineParts = 2
 )
 
-// A tokenWait spends the rate of workspaces, and makes calls wait in order for grants.
+// A tokenWait spends the rate of workspaces, and makes calls wait in a queue a workspace for grants.
 type tokenWait struct {
 	holder *limit.Holder
 	kick   func()
 	mu     sync.Mutex
-	queues map[string]*list.List
+	queues map[string]*limit.Queue[*tokenWaiter]
+}
+
+// A tokenWaiter is one call that waits for a token until its bound.
+type tokenWaiter struct {
+	granted chan bool
+	until   time.Time
 }
 
 func newTokenWait(holder *limit.Holder, kick func()) *tokenWait {
-	return &tokenWait{holder: holder, kick: kick, queues: make(map[string]*list.List)}
+	return &tokenWait{holder: holder, kick: kick, queues: make(map[string]*limit.Queue[*tokenWaiter])}
 }
 
 // spend takes one token of workspace, waiting for a grant within the deadline of ctx.
 func (t *tokenWait) spend(ctx context.Context, workspace string) *attemptError {
-	if t.queueLength(workspace) == 0 && t.holder.Spend(time.Now(), workspace, tokensACall) {
+	now := time.Now()
+	if t.queueLength(workspace) == 0 && t.holder.Spend(now, workspace, tokensACall) {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, waitBound(ctx))
+	bound := waitBound(ctx)
+	ctx, cancel := context.WithTimeout(ctx, bound)
 	defer cancel()
-	waiter, entered := t.join(workspace)
-	if !entered {
-		return t.refuse(workspace, "too many requests wait for the workspace's rate")
-	}
+	waiter := &tokenWaiter{granted: make(chan bool, 1), until: now.Add(bound)}
+	t.join(now, workspace, waiter)
 	t.kick()
 	select {
-	case granted := <-waiter:
+	case granted := <-waiter.granted:
 		if granted {
 			return nil
 		}
@@ -77,74 +81,68 @@
 	return queue.Len()
 }
 
-func (t *tokenWait) join(workspace string) (chan bool, bool) {
+// join queues waiter; where the queue is full, the call that has waited longest is refused.
+func (t *tokenWait) join(now time.Time, workspace string, waiter *tokenWaiter) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	queue := t.queues[workspace]
 	if queue == nil {
-		queue = list.New()
+		queue = limit.NewQueue[*tokenWaiter](limit.DefaultMaximumWaiting)
 		t.queues[workspace] = queue
 	}
-	if queue.Len() >= maxWaitersAHolder {
-		return nil, false
+	t.holder.Wait(now, workspace)
+	if displaced, full := queue.Push(now, waiter); full {
+		t.holder.Unwait(workspace)
+		displaced.granted <- false
 	}
-	waiter := make(chan bool, 1)
-	queue.PushBack(waiter)
-	t.holder.Wait(time.Now(), workspace)
-	return waiter, true
 }
 
 // abandon leaves the queue and reports whether the token had come meanwhile.
-func (t *tokenWait) abandon(workspace string, waiter chan bool) bool {
+func (t *tokenWait) abandon(workspace string, waiter *tokenWaiter) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	select {
-	case granted := <-waiter:
+	case granted := <-waiter.granted:
 		return granted
 	default:
 	}
-	queue := t.queues[workspace]
-	for element := queue.Front(); element != nil; element = element.Next() {
-		if element.Value == waiter {
-			t.remove(workspace, queue, element)
-			break
-		}
+	if queue := t.queues[workspace]; queue != nil && queue.Remove(waiter) {
+		t.left(workspace, queue)
 	}
 	return false
 }
 
-func (t *tokenWait) remove(workspace string, queue *list.List, element *list.Element) {
-	queue.Remove(element)
+// left notes that one call no longer waits; t.mu is held.
+func (t *tokenWait) left(workspace string, queue *limit.Queue[*tokenWaiter]) {
 	t.holder.Unwait(workspace)
 	if queue.Len() == 0 {
 		delete(t.queues, workspace)
 	}
 }
 
-// serve gives tokens that have come to the calls that wait, oldest first.
+// serve gives tokens that have come to the calls that wait.
 func (t *tokenWait) serve(now time.Time, workspace string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	queue := t.queues[workspace]
 	for queue != nil && queue.Len() > 0 && t.holder.Spend(now, workspace, tokensACall) {
-		t.wake(workspace, queue, true)
+		waiter, _ := queue.Pop(now)
+		waiter.granted <- true
+		t.left(workspace, queue)
 	}
 }
 
-// refuseAll refuses the calls that wait, as the owner of the rate has no token for them in time.
-func (t *tokenWait) refuseAll(workspace string) {
+// refuseBefore refuses the calls whose wait ends before a token can come.
+func (t *tokenWait) refuseBefore(token time.Time, workspace string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	queue := t.queues[workspace]
-	for queue != nil && queue.Len() > 0 {
-		t.wake(workspace, queue, false)
+	if queue == nil {
+		return
 	}
-}
-
-func (t *tokenWait) wake(workspace string, queue *list.List, granted bool) {
-	front := queue.Front()
-	if waiter, ok := front.Value.(chan bool); ok {
-		waiter <- granted
+	refused := queue.RemoveFunc(func(waiter *tokenWaiter) bool { return waiter.until.Before(token) })
+	for _, waiter := range refused {
+		waiter.granted <- false
+		t.left(workspace, queue)
 	}
-	t.remove(workspace, queue, front)
 }
--- a/limit/queue.go
+++ b/limit/queue.go
@@ -70,6 +70,19 @@
 	return false
 }
 
+// RemoveFunc takes out the requests that leave, and returns them, oldest first.
+func (q *Queue[R]) RemoveFunc(leaves func(R) bool) []R {
+	var removed []R
+	for i := 0; i < len(q.waiting); {
+		if leaves(q.waiting[i].request) {
+			removed = append(removed, q.take(i))
+			continue
+		}
+		i++
+	}
+	return removed
+}
+
 // Len returns the number of waiting requests.
 func (q *Queue[R]) Len() int {
 	return len(q.waiting)
