Expect the service time of each route, and doubt short windows

Change: priority.Request has a Route, and a run is expected to take the median of the last 16 latencies of its route; a trial's gain is taken less its standard error. Tests: a short route beside a slow one; seen to fail with one service time for all routes.

--- a/priority/admission.go
+++ b/priority/admission.go
@@ -21,8 +21,8 @@
 	levelValidity time.Duration
 	limiter       *limiter
 	queue         *queue
-	running       map[uint64]struct{}
-	service       serviceTime
+	running       map[uint64]string // routes of the running requests
+	service       serviceTimes
 	shedder       *shedder
 	droppedAt     time.Time // when late requests were dropped last
 	stats         Stats
@@ -34,7 +34,8 @@
 		levelValidity: defaultLevelValidity,
 		limiter:       newLimiter(defaultSlots),
 		queue:         newQueue(),
-		running:       make(map[uint64]struct{}),
+		running:       make(map[uint64]string),
+		service:       newServiceTimes(),
 		shedder:       newShedder(),
 	}
 	for _, opt := range opts {
@@ -51,11 +52,11 @@
 	}
 	a.shedder.arrived(r)
 	verdicts := a.advance(now, nil)
-	if !r.meets(now, a.service.expected(now)) {
+	if !a.service.meets(now, &r) {
 		return a.refuse(verdicts, r.ID, refusal.DeadlineUnreachable)
 	}
 	if a.queue.len() == 0 && a.free() {
-		return a.admit(verdicts, r.ID)
+		return a.admit(verdicts, r)
 	}
 	if lowest, bounded := a.lowestWaiting(); bounded && r.Priority > lowest && !a.free() {
 		return a.refuse(verdicts, r.ID, refusal.Overloaded)
@@ -67,14 +68,15 @@
 
 // Done notes the end of an admitted request and returns the verdicts that its slot allows.
 func (a *Admission) Done(now time.Time, id uint64, result Result) []Verdict {
-	if _, known := a.running[id]; !known {
+	route, known := a.running[id]
+	if !known {
 		return nil
 	}
 	a.limiter.done(now, result, len(a.running), a.queue.len() > 0)
 	delete(a.running, id)
 	a.shedder.completed(result.Latency)
 	if !result.Failed {
-		a.service.observe(now, result.Latency)
+		a.service.observe(now, route, result.Latency)
 	}
 	return a.fill(now, a.advance(now, nil))
 }
@@ -117,15 +119,19 @@
 }
 
 // Stats returns the current numbers.
-func (a *Admission) Stats(now time.Time) Stats {
+func (a *Admission) Stats(_ time.Time) Stats {
 	stats := a.stats
 	stats.Limit = a.limiter.current()
 	stats.Running = len(a.running)
 	stats.Waiting = a.queue.len()
-	stats.ServiceTime = a.service.expected(now)
 	return stats
 }
 
+// ServiceTime returns what a run of route is expected to take, or 0 where none has been seen.
+func (a *Admission) ServiceTime(now time.Time, route string) time.Duration {
+	return a.service.expected(now, route)
+}
+
 func (a *Admission) known(id uint64) bool {
 	_, runs := a.running[id]
 	_, waits := a.queue.byID[id]
@@ -143,13 +149,13 @@
 		if w == nil {
 			return verdicts
 		}
-		if !w.request.meets(now, a.service.expected(now)) {
+		if !a.service.meets(now, &w.request) {
 			a.queue.remove(w)
 			verdicts = a.refuse(verdicts, w.request.ID, refusal.DeadlineUnreachable)
 			continue
 		}
 		a.queue.dispatch(w)
-		verdicts = a.admit(verdicts, w.request.ID)
+		verdicts = a.admit(verdicts, w.request)
 	}
 	return verdicts
 }
@@ -173,7 +179,7 @@
 
 func (a *Admission) dropLate(now time.Time, verdicts []Verdict) []Verdict {
 	a.droppedAt = now
-	for _, w := range a.queue.late(now, a.service.expected(now)) {
+	for _, w := range a.queue.late(now, &a.service) {
 		a.queue.remove(w)
 		a.shedder.overflowed()
 		verdicts = a.refuse(verdicts, w.request.ID, refusal.DeadlineUnreachable)
@@ -215,10 +221,10 @@
 	return min(max(queuePerLimit*a.limiter.current(), queueMinimum), queueMaximum)
 }
 
-func (a *Admission) admit(verdicts []Verdict, id uint64) []Verdict {
-	a.running[id] = struct{}{}
+func (a *Admission) admit(verdicts []Verdict, r Request) []Verdict {
+	a.running[r.ID] = r.Route
 	a.stats.Admitted++
-	return append(verdicts, Verdict{ID: id, Admitted: true})
+	return append(verdicts, Verdict{ID: r.ID, Admitted: true})
 }
 
 func (a *Admission) refuse(verdicts []Verdict, id uint64, kind refusal.Kind) []Verdict {
--- a/priority/admission_test.go
+++ b/priority/admission_test.go
@@ -21,7 +21,7 @@
 }
 
 func (m *model) meets(r priority.Request) bool {
-	return !m.now.Add(m.admission.Stats(m.now).ServiceTime).After(r.Deadline)
+	return !m.now.Add(m.admission.ServiceTime(m.now, r.Route)).After(r.Deadline)
 }
 
 func (m *model) take(verdicts []priority.Verdict) {
@@ -72,6 +72,7 @@
 	case op < 6:
 		r := priority.Request{
 			ID: id, WholeHash: rapid.Uint64().Draw(m.t, "hash"), Priority: rapid.IntRange(0, 3).Draw(m.t, "priority"),
+			Route:     rapid.SampledFrom([]string{"x", "y"}).Draw(m.t, "route"),
 			Workspace: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(m.t, "workspace"), Share: 1,
 			Deadline: m.now.Add(time.Duration(rapid.IntRange(0, 200).Draw(m.t, "deadline")) * time.Millisecond),
 		}
@@ -158,3 +159,28 @@
 		}
 	}
 }
+
+// TestRoutesHaveTheirOwnServiceTime checks that a short request isn't dropped because another route is slow,
+// and that one of the slow route is dropped within ten runs of its slowing down.
+func TestRoutesHaveTheirOwnServiceTime(t *testing.T) {
+	a := priority.NewAdmission(priority.WithSlots(8))
+	run := func(id uint64, route string, latency time.Duration) []priority.Verdict {
+		now := start.Add(time.Duration(id) * 10 * time.Millisecond)
+		v := a.Offer(now, priority.Request{ID: id, Route: route, Share: 1, Deadline: now.Add(100 * time.Millisecond)})
+		a.Done(now, id, priority.Result{Latency: latency})
+		return v
+	}
+	for id := range uint64(10) {
+		run(2*id, "wind", 5*time.Millisecond)
+		run(2*id+1, "archive", 50*time.Millisecond)
+	}
+	for id := range uint64(10) {
+		run(100+id, "archive", 500*time.Millisecond)
+	}
+	if v := run(200, "wind", 5*time.Millisecond); !v[0].Admitted {
+		t.Errorf("a short request got %+v", v)
+	}
+	if v := run(201, "archive", 500*time.Millisecond); v[0].Kind != refusal.DeadlineUnreachable {
+		t.Errorf("a request that takes five times its deadline got %+v", v)
+	}
+}
--- a/priority/limiter.go
+++ b/priority/limiter.go
@@ -24,13 +24,14 @@
 // window, and keeps it where the throughput of successes confirms it; latency and failures only hint which
 // way to try, so neither a slow service below nor wrongly announced slots mislead it.
 type limiter struct {
-	limit   float64
-	slots   int
-	ramping bool
-	best    bestLatency
-	window  window
-	steady  float64 // throughput at the limit that is not on trial
-	trial   trial
+	limit       float64
+	slots       int
+	ramping     bool
+	best        bestLatency
+	window      window
+	steady      float64 // throughput at the limit that is not on trial
+	steadyError float64 // its standard error as a share of it
+	trial       trial
 }
 
 func newLimiter(slots int) *limiter {
@@ -120,7 +121,7 @@
 	if l.trial.running && !l.judge(now, throughput, w) {
 		return
 	}
-	l.steady = throughput
+	l.steady, l.steadyError = throughput, w.meanError()
 	l.best.learn(now.Sub(w.start), w)
 	l.propose(now, w)
 }
--- a/priority/queue.go
+++ b/priority/queue.go
@@ -61,10 +61,10 @@
 }
 
 // late returns the waiters that can't meet their deadline any more.
-func (q *queue) late(now time.Time, service time.Duration) []*waiter {
+func (q *queue) late(now time.Time, service *serviceTimes) []*waiter {
 	var late []*waiter
 	q.each(func(w *waiter) {
-		if !w.request.meets(now, service) {
+		if !service.meets(now, &w.request) {
 			late = append(late, w)
 		}
 	})
--- a/priority/servicetime.go
+++ b/priority/servicetime.go
@@ -2,41 +2,39 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
 const (
-	serviceQuantile  = 0.25
-	serviceStep      = 0.1
-	serviceIdle      = time.Second
-	serviceIdleHalf  = 500 * time.Millisecond
-	serviceTimeFloor = 10 * time.Microsecond
+	serviceSamples  = 16
+	serviceIdle     = time.Second
+	serviceIdleHalf = 500 * time.Millisecond
 )
 
-// serviceTime tracks a low quantile of observed latencies: what a run takes at least, as a rule. It
+// serviceTime keeps the last observed latencies of a route; a run is expected to take their median. It
 // shrinks while no run ends, so that a recovered backend server is tried again.
 type serviceTime struct {
-	quantile   float64 // nanoseconds
+	samples    [serviceSamples]time.Duration
+	observed   int
+	median     time.Duration
 	observedAt time.Time
 }
 
 func (s *serviceTime) observe(now time.Time, latency time.Duration) {
-	value := float64(max(latency, serviceTimeFloor))
-	switch {
-	case s.quantile == 0:
-		s.quantile = value
-	case value > s.quantile:
-		s.quantile = math.Min(value, s.quantile*(1+serviceStep*serviceQuantile))
-	default:
-		s.quantile = math.Max(value, s.quantile*(1-serviceStep*(1-serviceQuantile)))
-	}
+	s.samples[s.observed%serviceSamples] = latency
+	s.observed++
+	sorted := s.samples
+	n := min(s.observed, serviceSamples)
+	slices.Sort(sorted[:n])
+	s.median = sorted[n/2]
 	s.observedAt = now
 }
 
 func (s *serviceTime) expected(now time.Time) time.Duration {
 	idle := now.Sub(s.observedAt) - serviceIdle
-	if idle <= 0 || s.quantile == 0 {
-		return time.Duration(s.quantile)
+	if idle <= 0 || s.median == 0 {
+		return s.median
 	}
-	return time.Duration(s.quantile * math.Exp2(-float64(idle)/float64(serviceIdleHalf)))
+	return time.Duration(float64(s.median) * math.Exp2(-float64(idle)/float64(serviceIdleHalf)))
 }
--- a/priority/trial.go
+++ b/priority/trial.go
@@ -1,6 +1,9 @@
 package priority
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	stepUp           = 1.25
@@ -87,10 +90,11 @@
 	gain := throughput/max(l.steady, 1e-9) - 1
 	up := change > 0
 	var keep bool
+	doubt := math.Hypot(l.steadyError, w.meanError())
 	if up {
-		keep = gain > gainUp*change
+		keep = gain-doubt > gainUp*change
 	} else {
-		keep = gain > lossDown*change
+		keep = gain-doubt > lossDown*change
 	}
 	if !keep {
 		l.limit = t.before
