Look for held asks and for demand only while there are any

Cause: an idle control process spent about 2.2% of a core (a trial over 30 s); it polled the owner of the rates 200 times a second, as each daemon did its demand. Change: the leader polls while asks are held; a daemon looks at demand each 5 ms for a second after the last spend, each 100 ms otherwise.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -50,6 +50,7 @@
 	peers       *peer.Server
 	leadership  atomic.Pointer[leadership]
 	opened      chan struct{}
+	held        chan struct{}
 }
 
 // New returns a control instance of s that serves nothing until Run.
@@ -61,6 +62,7 @@
 		clock:       timeline.NewClock(),
 		state:       newState(),
 		opened:      make(chan struct{}),
+		held:        make(chan struct{}, 1),
 	}
 	for _, option := range options {
 		option(c)
@@ -167,7 +169,7 @@
 
 // lead follows the store: it begins and ends leaderships, and does what is due for the present one.
 func (c *Control) lead(ctx context.Context) {
-	polls := time.NewTicker(pollPeriod)
+	polls := time.NewTimer(pollPeriod)
 	defer polls.Stop()
 	expiries := time.NewTicker(expirePeriod)
 	defer expiries.Stop()
@@ -179,9 +181,11 @@
 		case <-c.store.Changed():
 			c.follow(time.Now())
 		case now := <-polls.C:
-			if l := c.leadership.Load(); l != nil && c.leadsAt(l.term, now) {
-				l.poll(now)
+			if l := c.leadership.Load(); l != nil && c.leadsAt(l.term, now) && l.poll(now) {
+				polls.Reset(pollPeriod)
 			}
+		case <-c.held:
+			polls.Reset(pollPeriod)
 		case now := <-expiries.C:
 			c.follow(now)
 			c.expire(now)
@@ -189,6 +193,14 @@
 	}
 }
 
+// holdAsk makes the leader poll for asks that were held back.
+func (c *Control) holdAsk() {
+	select {
+	case c.held <- struct{}{}:
+	default:
+	}
+}
+
 // follow begins or ends a leadership as the store says, and passes on what was applied.
 func (c *Control) follow(now time.Time) {
 	current := c.leadership.Load()
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -153,16 +153,18 @@
 	return buckets
 }
 
-// poll sends the grants that were held back until tokens came.
-func (l *leadership) poll(now time.Time) {
+// poll sends the grants that were held back until tokens came, and reports whether more asks are held.
+func (l *leadership) poll(now time.Time) bool {
 	l.ownerMu.Lock()
 	held := l.owner.Poll(now)
+	_, more := l.owner.Next(now)
 	l.ownerMu.Unlock()
 	for _, granted := range held {
 		if s := l.session(granted.Holder); s != nil {
 			s.sendGrants([]limit.Grant{granted.Grant})
 		}
 	}
+	return more
 }
 
 // expire removes targets whose announcements stopped.
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -164,6 +164,7 @@
 		return
 	}
 	var grants []limit.Grant
+	held := false
 	s.leadership.ownerMu.Lock()
 	for _, ask := range asks.GetAsks() {
 		grant, answered := s.leadership.owner.Ask(now, s.holder, limit.Ask{
@@ -175,8 +176,12 @@
 		if answered {
 			grants = append(grants, grant)
 		}
+		held = held || !answered
 	}
 	s.leadership.ownerMu.Unlock()
+	if held {
+		s.control.holdAsk()
+	}
 	s.sendGrants(grants)
 }
 
--- a/internal/daemon/link.go
+++ b/internal/daemon/link.go
@@ -16,6 +16,8 @@
 	kindControl      = "control"
 	heartbeatPeriod  = 500 * time.Millisecond
 	askPeriod        = limit.PollInterval
+	quietAskPeriod   = 100 * time.Millisecond
+	quietAfter       = time.Second
 	confirmTimeout   = 1500 * time.Millisecond
 	reconnectPause   = 50 * time.Millisecond
 	reconnectSpread  = 150 * time.Millisecond
--- a/internal/daemon/linksession.go
+++ b/internal/daemon/linksession.go
@@ -32,6 +32,8 @@
 
 	lastAnnounce *peerpb.DaemonMessage
 	announcedAt  time.Time
+	spends       uint64
+	activeAt     time.Time
 }
 
 // A sentHeartbeat is a heartbeat whose confirmation is awaited.
@@ -105,7 +107,7 @@
 func (s *linkSession) sendAll(ctx context.Context, received <-chan error) error {
 	heartbeats := time.NewTicker(heartbeatPeriod)
 	defer heartbeats.Stop()
-	asks := time.NewTicker(askPeriod)
+	asks := time.NewTimer(askPeriod)
 	defer asks.Stop()
 	err := s.heartbeat()
 	for err == nil {
@@ -120,13 +122,27 @@
 			err = s.heartbeat()
 		case <-s.link.kicked:
 			err = errors.Join(s.ask(), s.heartbeatIfNew())
-		case <-asks.C:
+		case now := <-asks.C:
 			err = s.ask()
+			asks.Reset(s.untilAsk(now))
 		}
 	}
 	return err
 }
 
+// untilAsk returns the time until the next look at demand, which is long where there was none lately.
+func (s *linkSession) untilAsk(now time.Time) time.Duration {
+	spends := s.link.daemon.tokenWait.spends.Load()
+	if spends != s.spends {
+		s.spends = spends
+		s.activeAt = now
+	}
+	if now.Sub(s.activeAt) > quietAfter {
+		return quietAskPeriod
+	}
+	return askPeriod
+}
+
 // heartbeat asks for a confirmation of what this daemon has, and renews the announcement.
 func (s *linkSession) heartbeat() error {
 	now := time.Now()
--- a/internal/daemon/tokenwait.go
+++ b/internal/daemon/tokenwait.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sapphirespread.example/limit"
@@ -21,6 +22,7 @@
 	kick   func()
 	mu     sync.Mutex
 	queues map[string]*limit.Queue[*tokenWaiter]
+	spends atomic.Uint64
 }
 
 // A tokenWaiter is one call that waits for a token until its bound.
@@ -36,6 +38,7 @@
 // spend takes one token of workspace, waiting for a grant within the deadline of ctx.
 func (t *tokenWait) spend(ctx context.Context, workspace string) *attemptError {
 	now := time.Now()
+	t.spends.Add(1)
 	if t.queueLength(workspace) == 0 && t.holder.Spend(now, workspace, tokensACall) {
 		return nil
 	}
