Convert between decisions and messages in one place

Cause: daemon and control each had their own conversions of headers, claims, targets, fingerprints and stamps.

--- a/internal/control/sessionreports.go
+++ b/internal/control/sessionreports.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"net/netip"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"sapphirespread.example/internal/control/controlpb"
+	"sapphirespread.example/internal/message"
 	"sapphirespread.example/internal/peer/peerpb"
-	"sapphirespread.example/target"
 )
 
 const (
@@ -25,7 +24,7 @@
 	before := l.targets.Version()
 	if said.GetState() == stateLeft {
 		l.targets.Leave(now, said.GetTarget(), said.GetIncarnation())
-	} else if announced, err := decodeTarget(said); err == nil {
+	} else if announced, err := message.DecodeTarget(said); err == nil {
 		l.targets.Announce(now, announced)
 	} else {
 		s.control.logger.Warn().Err(err).Str("daemon", s.daemon).Msg("control: announcement refused")
@@ -38,25 +37,6 @@
 	}
 }
 
-func decodeTarget(said *peerpb.Announce) (target.Target, error) {
-	address, err := netip.ParseAddrPort(said.GetPeerAddress())
-	if err != nil {
-		return target.Target{}, err
-	}
-	return target.Target{
-		Name:          said.GetTarget(),
-		Service:       said.GetService(),
-		FailureDomain: said.GetFailureDomain(),
-		Daemon:        said.GetDaemon(),
-		Peer:          address,
-		Incarnation:   said.GetIncarnation(),
-		Slots:         int(said.GetSlots()),
-		InFlight:      int(said.GetInFlight()),
-		Connections:   int(said.GetConnections()),
-		State:         target.State(said.GetState()),
-	}, nil
-}
-
 // claim queues a step on claims for the next batch.
 func (s *session) claim(message *peerpb.DaemonMessage) {
 	queued := queuedClaim{step: &controlpb.ClaimStep{}}
--- a/internal/control/sessionwrite.go
+++ b/internal/control/sessionwrite.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"sapphirespread.example/configuration"
+	"sapphirespread.example/internal/message"
 	"sapphirespread.example/internal/peer/peerpb"
 	"sapphirespread.example/quarantine"
-	"sapphirespread.example/target"
 )
 
 const writeTimeout = 3 * time.Second
@@ -104,7 +104,7 @@
 	delta := &peerpb.MembershipDelta{Epoch: s.leadership.term, From: from, To: to, Whole: whole}
 	for _, change := range changes {
 		delta.Changes = append(delta.Changes, &peerpb.MembershipChange{
-			Target:  encodeTarget(change.Target),
+			Target:  message.EncodeTarget(change.Target),
 			Removed: change.Removed,
 		})
 	}
@@ -112,21 +112,6 @@
 	return s.write(&peerpb.ControlMessage{Body: &peerpb.ControlMessage_Membership{Membership: delta}})
 }
 
-func encodeTarget(t target.Target) *peerpb.Announce {
-	return &peerpb.Announce{
-		Target:        t.Name,
-		Service:       t.Service,
-		FailureDomain: t.FailureDomain,
-		PeerAddress:   t.Peer.String(),
-		Incarnation:   t.Incarnation,
-		Slots:         int32(t.Slots),
-		State:         string(t.State),
-		InFlight:      int32(t.InFlight),
-		Daemon:        t.Daemon,
-		Connections:   int32(t.Connections),
-	}
-}
-
 func (s *session) sendQuarantine(now time.Time) error {
 	from := s.sent.quarantine
 	var delta *peerpb.QuarantineDelta
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -10,6 +10,7 @@
 	"sapphirespread.example/claim"
 	"sapphirespread.example/configuration"
 	"sapphirespread.example/internal/control/controlpb"
+	"sapphirespread.example/internal/message"
 	"sapphirespread.example/internal/peer/peerpb"
 	"sapphirespread.example/quarantine"
 )
@@ -78,9 +79,9 @@
 	case *controlpb.ClaimStep_Request:
 		return s.claimRequest(at, body.Request)
 	case *controlpb.ClaimStep_Release:
-		s.claims.Release(at, decodeClaimKey(body.Release.GetKey()), body.Release.GetAttempt())
+		s.claims.Release(at, message.DecodeClaimKey(body.Release.GetKey()), body.Release.GetAttempt())
 	case *controlpb.ClaimStep_Finish:
-		s.claims.Finish(at, decodeClaimKey(body.Finish.GetKey()), body.Finish.GetAttempt(), decodeOutcome(body.Finish.GetOutcome()))
+		s.claims.Finish(at, message.DecodeClaimKey(body.Finish.GetKey()), body.Finish.GetAttempt(), message.DecodeOutcome(body.Finish.GetOutcome()))
 	}
 	return &peerpb.ClaimAnswer{}
 }
@@ -88,54 +89,14 @@
 func (s *state) claimRequest(at time.Time, request *peerpb.ClaimRequest) *peerpb.ClaimAnswer {
 	var hash [32]byte
 	copy(hash[:], request.GetRequestHash())
-	claimed, outcome := s.claims.Claim(at, decodeClaimKey(request.GetKey()), request.GetAttempt(), hash)
+	claimed, outcome := s.claims.Claim(at, message.DecodeClaimKey(request.GetKey()), request.GetAttempt(), hash)
 	answer := &peerpb.ClaimAnswer{Id: request.GetId(), State: string(claimed)}
 	if outcome != nil {
-		answer.Outcome = encodeOutcome(*outcome)
+		answer.Outcome = message.EncodeOutcome(*outcome)
 	}
 	return answer
 }
 
-func decodeClaimKey(encoded *peerpb.ClaimKey) claim.Key {
-	return claim.Key{
-		Workspace:      encoded.GetWorkspace(),
-		Route:          encoded.GetRoute(),
-		IdempotencyKey: encoded.GetIdempotencyKey(),
-	}
-}
-
-func decodeOutcome(encoded *peerpb.ClaimOutcome) claim.Outcome {
-	outcome := claim.Outcome{
-		Status:   int(encoded.GetStatus()),
-		Body:     encoded.GetBody(),
-		BodyKept: encoded.GetBodyKept(),
-	}
-	for _, line := range encoded.GetHeaders() {
-		header := claim.Header{Name: line.GetName()}
-		for _, value := range line.GetValues() {
-			header.Values = append(header.Values, string(value))
-		}
-		outcome.Headers = append(outcome.Headers, header)
-	}
-	return outcome
-}
-
-func encodeOutcome(outcome claim.Outcome) *peerpb.ClaimOutcome {
-	encoded := &peerpb.ClaimOutcome{
-		Status:   int32(outcome.Status),
-		Body:     outcome.Body,
-		BodyKept: outcome.BodyKept,
-	}
-	for _, line := range outcome.Headers {
-		header := &peerpb.Header{Name: line.Name}
-		for _, value := range line.Values {
-			header.Values = append(header.Values, []byte(value))
-		}
-		encoded.Headers = append(encoded.Headers, header)
-	}
-	return encoded
-}
-
 // applyQuarantine applies a command on the quarantine and reports whether it did what was asked.
 func (s *state) applyQuarantine(at time.Time, command *controlpb.Command) bool {
 	s.quarantine.Expire(at)
@@ -143,28 +104,22 @@
 	case *controlpb.Command_Suspects:
 		suspects := make([]quarantine.Fingerprint, 0, len(body.Suspects.GetFingerprints()))
 		for _, encoded := range body.Suspects.GetFingerprints() {
-			suspects = append(suspects, decodeFingerprint(encoded))
+			suspects = append(suspects, message.DecodeFingerprint(encoded))
 		}
 		s.quarantine.Report(at, body.Suspects.GetCrash(), body.Suspects.GetTarget(), suspects)
 		return true
 	case *controlpb.Command_Ran:
-		return s.quarantine.Ran(at, decodeFingerprint(body.Ran.GetFingerprint()), body.Ran.GetTarget())
+		return s.quarantine.Ran(at, message.DecodeFingerprint(body.Ran.GetFingerprint()), body.Ran.GetTarget())
 	case *controlpb.Command_Trial:
-		return s.quarantine.Trial(at, decodeFingerprint(body.Trial.GetFingerprint()), body.Trial.GetTarget())
+		return s.quarantine.Trial(at, message.DecodeFingerprint(body.Trial.GetFingerprint()), body.Trial.GetTarget())
 	case *controlpb.Command_TrialEnd:
-		return s.quarantine.EndTrial(at, decodeFingerprint(body.TrialEnd.GetFingerprint()), body.TrialEnd.GetTarget())
+		return s.quarantine.EndTrial(at, message.DecodeFingerprint(body.TrialEnd.GetFingerprint()), body.TrialEnd.GetTarget())
 	case *controlpb.Command_Release:
-		return s.quarantine.Release(at, decodeFingerprint(body.Release.GetFingerprint()))
+		return s.quarantine.Release(at, message.DecodeFingerprint(body.Release.GetFingerprint()))
 	}
 	return false
 }
 
-func decodeFingerprint(encoded []byte) quarantine.Fingerprint {
-	var fingerprint quarantine.Fingerprint
-	copy(fingerprint[:], encoded)
-	return fingerprint
-}
-
 // Snapshot encodes the whole state.
 func (s *state) Snapshot() ([]byte, error) {
 	configured, err := s.configuration.MarshalBinary()
--- a/internal/daemon/callreader.go
+++ b/internal/daemon/callreader.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 
+	"sapphirespread.example/internal/message"
 	"sapphirespread.example/internal/peer"
 	"sapphirespread.example/internal/peer/peerpb"
 )
@@ -81,7 +82,7 @@
 		s.cut(errRequestCut)
 		return
 	}
-	trailer := decodeHeader(said.GetTrailers())
+	trailer := message.DecodeHeader(said.GetTrailers())
 	s.trailer.Store(&trailer)
 	_ = s.body.Close()
 }
--- a/internal/daemon/header.go
+++ b/internal/daemon/header.go
@@ -4,8 +4,6 @@
 	"net/http"
 	"slices"
 	"strings"
-
-	"sapphirespread.example/internal/peer/peerpb"
 )
 
 // Names of the headers that the daemon reads and writes.
@@ -95,35 +93,3 @@
 	slices.Sort(names)
 	return names
 }
-
-func encodeHeader(header http.Header) []*peerpb.Header {
-	encoded := make([]*peerpb.Header, 0, len(header))
-	for name, values := range header {
-		encoded = append(encoded, &peerpb.Header{Name: name, Values: toBytes(values)})
-	}
-	return encoded
-}
-
-func decodeHeader(encoded []*peerpb.Header) http.Header {
-	header := make(http.Header, len(encoded))
-	for _, line := range encoded {
-		header[http.CanonicalHeaderKey(line.GetName())] = toStrings(line.GetValues())
-	}
-	return header
-}
-
-func toBytes(values []string) [][]byte {
-	converted := make([][]byte, len(values))
-	for i, value := range values {
-		converted[i] = []byte(value)
-	}
-	return converted
-}
-
-func toStrings(values [][]byte) []string {
-	converted := make([]string, len(values))
-	for i, value := range values {
-		converted[i] = string(value)
-	}
-	return converted
-}
--- a/internal/daemon/linkanswers.go
+++ b/internal/daemon/linkanswers.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"sapphirespread.example/claim"
+	"sapphirespread.example/internal/message"
 	"sapphirespread.example/internal/peer/peerpb"
 	"sapphirespread.example/quarantine"
 )
@@ -81,54 +82,29 @@
 	}
 	id := l.nextID.Add(1)
 	hash := attempt.RequestHash()
-	request := &peerpb.ClaimRequest{Id: id, Key: encodeClaimKey(attempt.Key()), Attempt: attempt.Name(), RequestHash: hash[:]}
+	request := &peerpb.ClaimRequest{Id: id, Key: message.EncodeClaimKey(attempt.Key()), Attempt: attempt.Name(), RequestHash: hash[:]}
 	answer, err := l.exchange(ctx, id, &peerpb.DaemonMessage{Body: &peerpb.DaemonMessage_Claim{Claim: request}})
 	if err != nil {
 		return "", nil, err
 	}
-	return claim.State(answer.GetClaim().GetState()), decodeOutcome(answer.GetClaim().GetOutcome()), nil
-}
-
-func encodeClaimKey(key claim.Key) *peerpb.ClaimKey {
-	return &peerpb.ClaimKey{Workspace: key.Workspace, Route: key.Route, IdempotencyKey: key.IdempotencyKey}
-}
-
-func decodeOutcome(encoded *peerpb.ClaimOutcome) *claim.Outcome {
+	state := claim.State(answer.GetClaim().GetState())
+	encoded := answer.GetClaim().GetOutcome()
 	if encoded == nil {
-		return nil
-	}
-	outcome := &claim.Outcome{
-		Status:   int(encoded.GetStatus()),
-		Body:     encoded.GetBody(),
-		BodyKept: encoded.GetBodyKept(),
-	}
-	for _, line := range encoded.GetHeaders() {
-		outcome.Headers = append(outcome.Headers, claim.Header{Name: line.GetName(), Values: toStrings(line.GetValues())})
-	}
-	return outcome
-}
-
-func encodeOutcome(outcome claim.Outcome) *peerpb.ClaimOutcome {
-	encoded := &peerpb.ClaimOutcome{
-		Status:   int32(outcome.Status),
-		Body:     outcome.Body,
-		BodyKept: outcome.BodyKept,
-	}
-	for _, line := range outcome.Headers {
-		encoded.Headers = append(encoded.Headers, &peerpb.Header{Name: line.Name, Values: toBytes(line.Values)})
+		return state, nil, nil
 	}
-	return encoded
+	outcome := message.DecodeOutcome(encoded)
+	return state, &outcome, nil
 }
 
 // finishClaim stores the outcome of a claimed run.
 func (l *link) finishClaim(attempt *claim.Attempt, outcome claim.Outcome) {
-	finish := &peerpb.ClaimFinish{Key: encodeClaimKey(attempt.Key()), Attempt: attempt.Name(), Outcome: encodeOutcome(outcome)}
+	finish := &peerpb.ClaimFinish{Key: message.EncodeClaimKey(attempt.Key()), Attempt: attempt.Name(), Outcome: message.EncodeOutcome(outcome)}
 	l.enqueue(&peerpb.DaemonMessage{Body: &peerpb.DaemonMessage_ClaimFinish{ClaimFinish: finish}})
 }
 
 // releaseClaim gives a claim back whose request did not run and will not.
 func (l *link) releaseClaim(attempt *claim.Attempt) {
-	release := &peerpb.ClaimRelease{Key: encodeClaimKey(attempt.Key()), Attempt: attempt.Name()}
+	release := &peerpb.ClaimRelease{Key: message.EncodeClaimKey(attempt.Key()), Attempt: attempt.Name()}
 	l.enqueue(&peerpb.DaemonMessage{Body: &peerpb.DaemonMessage_ClaimRelease{ClaimRelease: release}})
 }
 
--- a/internal/daemon/linkreceive.go
+++ b/internal/daemon/linkreceive.go
@@ -2,14 +2,13 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"time"
 
 	"sapphirespread.example/configuration"
+	"sapphirespread.example/internal/message"
 	"sapphirespread.example/internal/peer/peerpb"
 	"sapphirespread.example/quarantine"
 	"sapphirespread.example/target"
-	"sapphirespread.example/timeline"
 )
 
 // receiveAll takes what control sends until the stream ends.
@@ -63,7 +62,7 @@
 		return
 	}
 	d := s.link.daemon
-	d.clock.Observe(now, decodeStamp(confirmed.GetStamp()))
+	d.clock.Observe(now, message.DecodeStamp(confirmed.GetStamp()))
 	d.view.Confirm(heartbeat.at, confirmed.GetRevision())
 	s.link.wanted.setKnown(heartbeat.services)
 }
@@ -90,7 +89,7 @@
 func (s *linkSession) applyMembership(delta *peerpb.MembershipDelta) error {
 	changes := make([]target.Change, 0, len(delta.GetChanges()))
 	for _, change := range delta.GetChanges() {
-		changed, err := decodeTarget(change.GetTarget())
+		changed, err := message.DecodeTarget(change.GetTarget())
 		if err != nil {
 			return err
 		}
@@ -100,49 +99,19 @@
 	return d.table.Apply(delta.GetEpoch(), delta.GetFrom(), delta.GetTo(), delta.GetWhole(), changes)
 }
 
-func decodeTarget(encoded *peerpb.Announce) (target.Target, error) {
-	address, err := netip.ParseAddrPort(encoded.GetPeerAddress())
-	if err != nil {
-		return target.Target{}, fmt.Errorf("decoding target %s: %w", encoded.GetTarget(), err)
-	}
-	return target.Target{
-		Name:          encoded.GetTarget(),
-		Service:       encoded.GetService(),
-		FailureDomain: encoded.GetFailureDomain(),
-		Daemon:        encoded.GetDaemon(),
-		Peer:          address,
-		Incarnation:   encoded.GetIncarnation(),
-		Slots:         int(encoded.GetSlots()),
-		InFlight:      int(encoded.GetInFlight()),
-		Connections:   int(encoded.GetConnections()),
-		State:         target.State(encoded.GetState()),
-	}, nil
-}
-
 func (s *linkSession) applyQuarantine(delta *peerpb.QuarantineDelta) {
 	now := time.Now()
 	entries := make([]quarantine.Entry, 0, len(delta.GetEntries()))
 	for _, encoded := range delta.GetEntries() {
 		entries = append(entries, quarantine.Entry{
-			Fingerprint: decodeFingerprint(encoded.GetFingerprint()),
+			Fingerprint: message.DecodeFingerprint(encoded.GetFingerprint()),
 			State:       quarantine.State(encoded.GetState()),
 			Until:       now.Add(time.Duration(encoded.GetRemainingUs()) * time.Microsecond),
 		})
 	}
 	cleared := make([]quarantine.Fingerprint, 0, len(delta.GetCleared()))
 	for _, encoded := range delta.GetCleared() {
-		cleared = append(cleared, decodeFingerprint(encoded))
+		cleared = append(cleared, message.DecodeFingerprint(encoded))
 	}
 	s.link.daemon.quarantine.Apply(delta.GetVersion(), delta.GetWhole(), entries, cleared)
 }
-
-func encodeStamp(stamp timeline.Stamp) *peerpb.Stamp {
-	return &peerpb.Stamp{WallNs: stamp.Wall.UnixNano(), Logical: stamp.Logical}
-}
-
-func decodeStamp(encoded *peerpb.Stamp) timeline.Stamp {
-	if encoded == nil {
-		return timeline.Stamp{}
-	}
-	return timeline.Stamp{Wall: time.Unix(0, encoded.GetWallNs()), Logical: encoded.GetLogical()}
-}
--- a/internal/daemon/linksession.go
+++ b/internal/daemon/linksession.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"sapphirespread.example/internal/message"
 	"sapphirespread.example/internal/peer"
 	"sapphirespread.example/internal/peer/peerpb"
 	"sapphirespread.example/target"
@@ -161,7 +162,7 @@
 		MembershipVersion: version,
 		CalledServices:    services,
 		QuarantineVersion: d.quarantine.Version(),
-		Stamp:             encodeStamp(d.clock.Now(now)),
+		Stamp:             message.EncodeStamp(d.clock.Now(now)),
 	}
 	return s.stream.Send(&peerpb.DaemonMessage{Body: &peerpb.DaemonMessage_Heartbeat{Heartbeat: heartbeat}})
 }
--- a/internal/daemon/remote.go
+++ b/internal/daemon/remote.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"sapphirespread.example/internal/message"
 	"sapphirespread.example/internal/peer"
 	"sapphirespread.example/internal/peer/peerpb"
 	"sapphirespread.example/refusal"
@@ -87,7 +88,7 @@
 		Host:              c.head.host,
 		Path:              c.head.path,
 		Query:             []byte(c.head.query),
-		Headers:           encodeHeader(c.head.header),
+		Headers:           message.EncodeHeader(c.head.header),
 		ContentLength:     c.head.contentLength,
 		IdempotencyKey:    c.idempotencyKey,
 		Fingerprint:       c.fingerprint[:],
@@ -119,7 +120,7 @@
 			return
 		}
 	}
-	end := &peerpb.End{Length: sent, Trailers: encodeHeader(r.call.body.trailer())}
+	end := &peerpb.End{Length: sent, Trailers: message.EncodeHeader(r.call.body.trailer())}
 	if r.stream.Send(&peerpb.Frame{CallId: r.call.id, Body: &peerpb.Frame_End{End: end}}) == nil {
 		r.bodySent.Store(true)
 	}
@@ -160,7 +161,7 @@
 func (r *remoteCall) answer(head *peerpb.AnswerHeader) *answer {
 	return &answer{
 		status:        int(head.GetStatus()),
-		header:        decodeHeader(head.GetHeaders()),
+		header:        message.DecodeHeader(head.GetHeaders()),
 		contentLength: head.GetContentLength(),
 		trailerNames:  head.GetTrailerNames(),
 		body:          r,
@@ -233,7 +234,7 @@
 		r.received += uint64(len(r.data))
 		return nil
 	case *peerpb.Frame_End:
-		r.trailer = decodeHeader(body.End.GetTrailers())
+		r.trailer = message.DecodeHeader(body.End.GetTrailers())
 		r.end(decodeReport(body.End.GetReport(), time.Now()), true)
 		if body.End.GetLength() != r.received {
 			return refuse(refusal.AnswerCut, "the answer has another length than its sender counted")
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -8,9 +8,9 @@
 	"sync/atomic"
 	"time"
 
+	"sapphirespread.example/internal/message"
 	"sapphirespread.example/internal/peer"
 	"sapphirespread.example/internal/peer/peerpb"
-	"sapphirespread.example/quarantine"
 	"sapphirespread.example/refusal"
 	"sapphirespread.example/retry"
 )
@@ -41,22 +41,16 @@
 			host:          head.GetHost(),
 			path:          head.GetPath(),
 			query:         string(head.GetQuery()),
-			header:        decodeHeader(head.GetHeaders()),
+			header:        message.DecodeHeader(head.GetHeaders()),
 			contentLength: head.GetContentLength(),
 			trailerNames:  head.GetTrailerNames(),
 		},
 	}
 	copy(c.requestHash[:], head.GetRequestHash())
-	c.fingerprint = decodeFingerprint(head.GetFingerprint())
+	c.fingerprint = message.DecodeFingerprint(head.GetFingerprint())
 	return c
 }
 
-func decodeFingerprint(encoded []byte) quarantine.Fingerprint {
-	var fingerprint quarantine.Fingerprint
-	copy(fingerprint[:], encoded)
-	return fingerprint
-}
-
 // A servedCall is a call of another daemon under way at this one.
 type servedCall struct {
 	daemon   *Daemon
@@ -135,7 +129,7 @@
 	defer func() { _ = a.body.Close() }()
 	head := &peerpb.AnswerHeader{
 		Status:        int32(a.status),
-		Headers:       encodeHeader(a.header),
+		Headers:       message.EncodeHeader(a.header),
 		ContentLength: a.contentLength,
 		TrailerNames:  a.trailerNames,
 	}
@@ -152,7 +146,7 @@
 	}
 	end := &peerpb.End{
 		Length:   sent,
-		Trailers: encodeHeader(a.body.Trailer()),
+		Trailers: message.EncodeHeader(a.body.Trailer()),
 		Report:   encodeReport(s.report, time.Now()),
 	}
 	_ = s.stream.Send(&peerpb.Frame{CallId: s.call.id, Body: &peerpb.Frame_End{End: end}})
--- /dev/null
+++ b/internal/message/header.go
@@ -0,0 +1,41 @@
+package message
+
+import (
+	"net/http"
+
+	"sapphirespread.example/internal/peer/peerpb"
+)
+
+// EncodeHeader returns the lines of header.
+func EncodeHeader(header http.Header) []*peerpb.Header {
+	encoded := make([]*peerpb.Header, 0, len(header))
+	for name, values := range header {
+		encoded = append(encoded, &peerpb.Header{Name: name, Values: toBytes(values)})
+	}
+	return encoded
+}
+
+// DecodeHeader returns the header of lines.
+func DecodeHeader(encoded []*peerpb.Header) http.Header {
+	header := make(http.Header, len(encoded))
+	for _, line := range encoded {
+		header[http.CanonicalHeaderKey(line.GetName())] = toStrings(line.GetValues())
+	}
+	return header
+}
+
+func toBytes(values []string) [][]byte {
+	converted := make([][]byte, len(values))
+	for i, value := range values {
+		converted[i] = []byte(value)
+	}
+	return converted
+}
+
+func toStrings(values [][]byte) []string {
+	converted := make([]string, len(values))
+	for i, value := range values {
+		converted[i] = string(value)
+	}
+	return converted
+}
