--- a/internal/measure/path_bench_test.go
+++ b/internal/measure/path_bench_test.go
@@ -93,6 +93,7 @@
 	for _, percent := range []float64{50, 90, 99} {
 		b.ReportMetric(float64(histograms[0].ValueAtPercentile(percent))/1e3, fmt.Sprintf("p%.0f-µs", percent))
 	}
+	b.ReportMetric(float64(histograms[0].Max())/1e3, "max-µs")
 	b.ReportMetric(float64(used.Microseconds())/float64(b.N), "cpu-µs/op")
 }
 
