--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -50,6 +50,7 @@
 	peers       *peer.Server
 	leadership  atomic.Pointer[leadership]
 	opened      chan struct{}
+	held        chan struct{}
 }
 
 // New returns a control instance of s that serves nothing until Run.
@@ -61,6 +62,7 @@
 		clock:       timeline.NewClock(),
 		state:       newState(),
 		opened:      make(chan struct{}),
+		held:        make(chan struct{}, 1),
 	}
 	for _, option := range options {
 		option(c)
@@ -98,6 +100,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return c.peers.Serve(c.listeners.Peers) })
 	group.Go(func() error { return serveHTTP(operators, c.listeners.Operators) })
+	group.Go(func() error { return c.watchStore(ctx) })
 	group.Go(func() error {
 		c.batcher.run(ctx)
 		return nil
@@ -116,6 +119,19 @@
 	return group.Wait()
 }
 
+// watchStore ends the process where the store has stopped by itself, such as after a failed sync.
+func (c *Control) watchStore(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-c.store.Done():
+	}
+	if ctx.Err() != nil {
+		return nil
+	}
+	return fmt.Errorf("keeping the replicated state: %w", c.store.Err())
+}
+
 func (c *Control) listen() error {
 	if c.listeners.Peers == nil {
 		listener, err := net.Listen("tcp", c.settings.PeerListen.String())
@@ -153,7 +169,7 @@
 
 // lead follows the store: it begins and ends leaderships, and does what is due for the present one.
 func (c *Control) lead(ctx context.Context) {
-	polls := time.NewTicker(pollPeriod)
+	polls := time.NewTimer(pollPeriod)
 	defer polls.Stop()
 	expiries := time.NewTicker(expirePeriod)
 	defer expiries.Stop()
@@ -165,9 +181,11 @@
 		case <-c.store.Changed():
 			c.follow(time.Now())
 		case now := <-polls.C:
-			if l := c.leadership.Load(); l != nil {
-				l.poll(now)
+			if l := c.leadership.Load(); l != nil && c.leadsAt(l.term, now) && l.poll(now) {
+				polls.Reset(pollPeriod)
 			}
+		case <-c.held:
+			polls.Reset(pollPeriod)
 		case now := <-expiries.C:
 			c.follow(now)
 			c.expire(now)
@@ -175,6 +193,14 @@
 	}
 }
 
+// holdAsk makes the leader poll for asks that were held back.
+func (c *Control) holdAsk() {
+	select {
+	case c.held <- struct{}{}:
+	default:
+	}
+}
+
 // follow begins or ends a leadership as the store says, and passes on what was applied.
 func (c *Control) follow(now time.Time) {
 	current := c.leadership.Load()
@@ -184,15 +210,19 @@
 		}
 		return
 	}
-	if term := c.store.Term(); current == nil || current.term != term {
+	term := c.store.Term()
+	begins := current == nil || current.term != term
+	if begins {
 		current = newLeadership(term, now)
-		c.changeLeadership(current)
 	}
 	var news bool
 	c.store.Read(func() {
 		current.configure(now, c.state.configuration.Revision(), c.state.configuration.Current())
 		news = current.hasNews(c.state.configuration.Revision(), c.state.quarantine.Version())
 	})
+	if begins {
+		c.changeLeadership(current)
+	}
 	if news {
 		current.wake()
 	}
@@ -244,7 +274,12 @@
 
 // leads reports whether this instance holds the leader lease of term now.
 func (c *Control) leads(term uint64) bool {
-	return c.store.Lease(time.Now()) && c.store.Term() == term
+	return c.leadsAt(term, time.Now())
+}
+
+// leadsAt reports whether this instance holds the leader lease of term at now.
+func (c *Control) leadsAt(term uint64, now time.Time) bool {
+	return c.store.Lease(now) && c.store.Term() == term
 }
 
 func (c *Control) stop(operators *operatorsServer) {
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -158,8 +158,13 @@
 	s.wake()
 }
 
+// ask grants tokens only at a time at which this instance holds the leader lease, so that no other owner grants.
 func (s *session) ask(now time.Time, asks *peerpb.Asks) {
+	if !s.control.leadsAt(s.leadership.term, now) {
+		return
+	}
 	var grants []limit.Grant
+	held := false
 	s.leadership.ownerMu.Lock()
 	for _, ask := range asks.GetAsks() {
 		grant, answered := s.leadership.owner.Ask(now, s.holder, limit.Ask{
@@ -171,8 +176,12 @@
 		if answered {
 			grants = append(grants, grant)
 		}
+		held = held || !answered
 	}
 	s.leadership.ownerMu.Unlock()
+	if held {
+		s.control.holdAsk()
+	}
 	s.sendGrants(grants)
 }
 
