--- a/priority/bestlatency.go
+++ b/priority/bestlatency.go
@@ -7,7 +7,7 @@
 	attributedMargin = 1.2
 )
 
-// bestLatency is the lowest recent mean latency and how many ran at a time when it was seen.
+// bestLatency is the lowest recent mean latency and the most runs at a time that were seen with about it.
 type bestLatency struct {
 	latency  time.Duration
 	inFlight float64
@@ -19,8 +19,11 @@
 func (b *bestLatency) learn(elapsed time.Duration, w window) {
 	latency, inFlight := max(w.meanLatency(), 1), max(w.meanInFlight(), 1)
 	b.latency += time.Duration(float64(b.latency) * bestLatencyRise * elapsed.Seconds())
+	if b.latency == 0 || float64(latency) <= attributedMargin*float64(b.latency) {
+		b.inFlight = max(b.inFlight, float64(w.peak))
+	}
 	if b.latency == 0 || latency <= b.latency {
-		b.latency, b.inFlight = latency, inFlight
+		b.latency = latency
 		return
 	}
 	crowding := max(1, inFlight/b.inFlight)
--- a/priority/servicetime.go
+++ b/priority/servicetime.go
@@ -12,12 +12,12 @@
 	serviceIdleHalf = 500 * time.Millisecond
 )
 
-// serviceTime keeps the last observed latencies of a route; a run is expected to take their median. It
-// shrinks while no run ends, so that a recovered backend server is tried again.
+// serviceTime keeps the last observed latencies of a route; a run is expected to take their lower quartile,
+// which shrinks while no run ends, so that a recovered backend server is tried again.
 type serviceTime struct {
 	samples    [serviceSamples]time.Duration
 	observed   int
-	median     time.Duration
+	shorter    time.Duration
 	observedAt time.Time
 }
 
@@ -27,14 +27,14 @@
 	sorted := s.samples
 	n := min(s.observed, serviceSamples)
 	slices.Sort(sorted[:n])
-	s.median = sorted[n/2]
+	s.shorter = sorted[n/4]
 	s.observedAt = now
 }
 
 func (s *serviceTime) expected(now time.Time) time.Duration {
 	idle := now.Sub(s.observedAt) - serviceIdle
-	if idle <= 0 || s.median == 0 {
-		return s.median
+	if idle <= 0 || s.shorter == 0 {
+		return s.shorter
 	}
-	return time.Duration(float64(s.median) * math.Exp2(-float64(idle)/float64(serviceIdleHalf)))
+	return time.Duration(float64(s.shorter) * math.Exp2(-float64(idle)/float64(serviceIdleHalf)))
 }
