Bound the queue wait of sub-calls by two service times

Cause: a sub-call that finds a long queue waited there until its deadline and held slots of all targets above, so a retry storm kept the queues full for seconds. Change: a sub-call waits for two expected service times, 10 ms at least, then it is refused as overloaded and not run, and may be tried at another target.

--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -9,6 +9,11 @@
 	"sapphirespread.example/refusal"
 )
 
+const (
+	subcallWaits   = 2
+	minSubcallWait = 10 * time.Millisecond
+)
+
 // A gate lets calls through to the backend server as its admission decides.
 type gate struct {
 	mu        sync.Mutex
@@ -27,15 +32,19 @@
 // enter waits until c is admitted or refused; an admitted call is ended with leave.
 func (g *gate) enter(ctx context.Context, c *call) *attemptError {
 	verdict := make(chan priority.Verdict, 1)
-	g.offer(c, verdict)
+	waiting, cancel := context.WithTimeout(ctx, g.offer(c, verdict))
+	defer cancel()
 	select {
 	case v := <-verdict:
 		return refusalOf(v)
-	case <-ctx.Done():
+	case <-waiting.Done():
 	}
 	if g.cancel(c.admissionID, verdict) {
 		g.leave(c.admissionID, priority.Result{Failed: true})
 	}
+	if ctx.Err() == nil {
+		return refuse(refusal.Overloaded, "a sub-call waited too long in the queue")
+	}
 	if time.Now().Before(c.deadline) {
 		return refuse(refusal.Cancelled, "the caller left before the request ran")
 	}
@@ -49,7 +58,8 @@
 	return refuse(verdict.Kind, "refused by the target's admission")
 }
 
-func (g *gate) offer(c *call, verdict chan priority.Verdict) {
+// offer puts c to the admission and returns how long it may wait.
+func (g *gate) offer(c *call, verdict chan priority.Verdict) time.Duration {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -62,6 +72,17 @@
 		Share:     c.share,
 		Deadline:  c.deadline,
 	}))
+	return g.waitBound(now, c)
+}
+
+// waitBound bounds the wait of a sub-call by a few service times, as it holds slots of the targets above.
+func (g *gate) waitBound(now time.Time, c *call) time.Duration {
+	remaining := c.remaining(now)
+	if c.depth == 0 {
+		return remaining
+	}
+	serviceTime := g.admission.ServiceTime(now, "")
+	return min(remaining, max(subcallWaits*serviceTime, minSubcallWait))
 }
 
 // cancel withdraws a waiting call and reports whether it had been admitted meanwhile.
