--- a/internal/cmd/daemoncmd.go
+++ b/internal/cmd/daemoncmd.go
@@ -49,5 +49,6 @@
 	if err != nil {
 		return fmt.Errorf("securing sessions: %w", err)
 	}
+	tuneCollector()
 	return daemon.New(loaded, daemon.WithLogger(logger), daemon.WithTLS(secured)).Run(ctx)
 }
