Keep sending to a sole target whose runs are long

Cause: a target whose calls in flight all took longer than 3 s got nothing new, as it was taken for silent; a service with one target then refused with no-target. Ruled out: a longer silence (a frozen daemon must get nothing new after seconds). Change: daemons of targets with calls in flight that have not answered for a second are asked for a sign of life over the session that is kept; a new control session starts the quarantine list anew.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -56,6 +56,7 @@
 	streams     *callStreams
 	peers       *peer.Server
 	link        *link
+	liveness    *liveness
 	counters    *counters
 	inFlight    *inFlight
 	callIDs     atomic.Uint64
@@ -89,6 +90,7 @@
 	d.gate = newGate(priority.NewAdmission())
 	d.link = newLink(d)
 	d.tokenWait = newTokenWait(d.holder, d.link.kick)
+	d.liveness = newLiveness(d.alive, d.chooser.Heard)
 	d.publishGauges()
 	return d
 }
@@ -112,6 +114,10 @@
 		group.Go(func() error { return server.serve() })
 	}
 	group.Go(func() error { return d.peers.Serve(d.listeners.Peers) })
+	group.Go(func() error {
+		d.liveness.run(groupCtx)
+		return nil
+	})
 	linkEnded := make(chan struct{})
 	go func() {
 		defer close(linkEnded)
@@ -273,6 +279,11 @@
 	return d.budgets.of(service)
 }
 
+// alive reports whether the daemon at address answers; this one does.
+func (d *Daemon) alive(address netip.AddrPort) bool {
+	return address == d.peerAddress() || d.pool.Alive(address)
+}
+
 // isOwn reports whether the target is the backend server beside this daemon.
 func (d *Daemon) isOwn(t target.Target) bool {
 	return t.Daemon == d.settings.Name
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -69,6 +69,7 @@
 	a := &attempt{daemon: d, parent: c, target: chosen.Target, sentAt: time.Now()}
 	child := c.child(d.nextCallID(), given)
 	d.chooser.Sent(a.sentAt, chosen.Target.Name)
+	d.liveness.sent(a.sentAt, chosen.Target.Name, chosen.Target.Peer)
 	var got *answer
 	var failed *attemptError
 	if d.isOwn(chosen.Target) {
@@ -172,6 +173,7 @@
 		return
 	}
 	now := time.Now()
+	a.daemon.liveness.ended(now, a.target.Name)
 	kind := observationKind(a.failed)
 	if kind == target.OK {
 		a.daemon.budget(a.parent.service).Success(now)
--- a/internal/daemon/linksession.go
+++ b/internal/daemon/linksession.go
@@ -76,6 +76,7 @@
 		return netip.AddrPort{}, errors.New("attaching: unexpected first message")
 	}
 	_ = s.stream.SetDeadline(time.Time{})
+	s.link.daemon.quarantine.Reset()
 	s.link.attached(first.GetAttached().GetLeader())
 	return netip.AddrPort{}, s.serve(ctx)
 }
--- a/internal/daemon/promise_test.go
+++ b/internal/daemon/promise_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 )
 
 func TestWithdrawnKeyStopsOnAnOpenConnection(t *testing.T) {
@@ -199,3 +200,34 @@
 		t.Errorf("%d extra attempts (%d at the top, %d at the leaf), allowance %d", extra, top.Load(), leaf.Load(), allowance)
 	}
 }
+
+// TestLongRunsDoNotSilenceASoleTarget sends to the only target of a service after its only run has taken longer than
+// a silent target is trusted.
+func TestLongRunsDoNotSilenceASoleTarget(t *testing.T) {
+	const longerThanSilence = 5 * time.Second
+	f := newFleet(t)
+	set := baseSet()
+	set.Routes[0].Deadline = time.Minute
+	f.publish(set)
+	release := make(chan struct{})
+	f.backend("courts-1", "courts", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/courts/long" {
+			<-release
+		}
+		_, _ = io.WriteString(w, "whole")
+	})
+	entry, _, _ := f.daemon("entry")
+	f.eventually("an answer", func() bool {
+		return ask(entry, http.MethodGet, "/courts/1", "club", "").status == http.StatusOK
+	})
+	long := make(chan reply, 1)
+	go func() { long <- ask(entry, http.MethodGet, "/courts/long", "club", "") }()
+	time.Sleep(longerThanSilence)
+	if got := ask(entry, http.MethodGet, "/courts/1", "club", ""); got.status != http.StatusOK {
+		t.Errorf("beside a long run: %d %s", got.status, got.body)
+	}
+	close(release)
+	if got := <-long; got.status != http.StatusOK {
+		t.Errorf("the long run: %d %s", got.status, got.body)
+	}
+}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -178,6 +178,22 @@
 	return dialSession(conn, p.self)
 }
 
+// Alive asks the peer at address over the session that is kept, and reports whether it answered in time.
+func (p *Pool) Alive(address netip.AddrPort) bool {
+	p.mu.Lock()
+	entry := p.entries[address]
+	p.mu.Unlock()
+	if entry == nil {
+		return false
+	}
+	<-entry.ready
+	if entry.err != nil {
+		return false
+	}
+	_, err := entry.session.Ping()
+	return err == nil
+}
+
 func (p *Pool) drop(address netip.AddrPort, entry *poolEntry) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
