--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -47,6 +47,7 @@
 	tokenWait   *tokenWait
 	gate        *gate
 	budgets     *budgets
+	resends     *retry.Resends
 	watch       *quarantine.Watch
 	quarantine  *quarantine.List
 	crashes     crashDesk
@@ -75,6 +76,7 @@
 		table:       target.NewTable(),
 		holder:      limit.NewHolder(),
 		budgets:     newBudgets(),
+		resends:     retry.NewResends(),
 		watch:       quarantine.NewWatch(),
 		quarantine:  quarantine.NewList(),
 		tokens:      newTokenTable(),
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -59,7 +59,7 @@
 		refused = identify(snapshot, fresh, secret, matched, c)
 	}
 	if refused == nil && !c.repeatable {
-		refused = c.takeIdempotencyKey(r)
+		refused = d.enterOnce(r, c, matched.ExtraAttempts)
 	}
 	return c, refused
 }
@@ -136,6 +136,16 @@
 	}
 }
 
+// enterOnce takes the idempotency key of c, whose resends share one allowance of extra attempts.
+func (d *Daemon) enterOnce(r *http.Request, c *call, extraAttempts int) *attemptError {
+	if refused := c.takeIdempotencyKey(r); refused != nil {
+		return refused
+	}
+	key := retry.ResendKey{Workspace: c.workspace, Route: c.route, IdempotencyKey: c.idempotencyKey}
+	c.allowance = d.resends.Enter(time.Now(), key, extraAttempts)
+	return nil
+}
+
 func (c *call) takeIdempotencyKey(r *http.Request) *attemptError {
 	given := r.Header.Get(headerIdempotencyKey)
 	if given == "" {
