Test a second SIGTERM and the bound of a rate over two daemons

Cause: neither was shown through the processes. Change: a daemon with a claim held gets SIGTERM twice and answers; calls through two daemons stay within rate and burst.

--- a/internal/daemon/path_test.go
+++ b/internal/daemon/path_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"sapphirespread.example/configuration"
 )
@@ -239,6 +240,7 @@
 		return ask(one, http.MethodGet, "/courts/1", "federation", "").status == http.StatusOK &&
 			ask(two, http.MethodGet, "/courts/1", "federation", "").status == http.StatusOK
 	})
+	started := time.Now()
 	replies := make(chan reply, 12)
 	for i := range cap(replies) {
 		d := one
@@ -258,6 +260,10 @@
 			t.Errorf("unexpected: %d %s", got.status, got.body)
 		}
 	}
+	const rate, burst = 1, 2
+	if bound := burst + rate*time.Since(started).Seconds(); float64(answered) > bound {
+		t.Errorf("%d answered, rate and burst allow %.1f", answered, bound)
+	}
 	if answered == 0 || refused == 0 {
 		t.Errorf("%d answered, %d refused", answered, refused)
 	}
--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -25,7 +26,9 @@
 // TestMain runs the command of the project where a test starts this binary as a process.
 func TestMain(m *testing.M) {
 	if os.Getenv(runVariable) != "" {
-		os.Exit(cmd.Main(context.Background(), os.Args[1:], os.Stdout, os.Stderr))
+		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+		defer stop()
+		os.Exit(cmd.Main(ctx, os.Args[1:], os.Stdout, os.Stderr))
 	}
 	os.Exit(m.Run())
 }
--- /dev/null
+++ b/internal/daemon/stop_test.go
@@ -0,0 +1,32 @@
+package daemon_test
+
+import (
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestSecondSignalCutsNoRequest sends SIGTERM twice to a daemon with a booking under way and a claim held.
+func TestSecondSignalCutsNoRequest(t *testing.T) {
+	c := newCluster(t, baseSet())
+	d := c.daemon("bookings-1")
+	counter := newRunCounter()
+	d.serve("bookings-1", "bookings", counter.handle(time.Second))
+	eventually(t, "a booking", func() bool { return d.book("warm-up", 5*time.Second).status == http.StatusOK })
+	for len(counter.started) > 0 {
+		<-counter.started
+	}
+	answered := make(chan reply, 1)
+	go func() { answered <- d.book("under-way", 10*time.Second) }()
+	<-counter.started
+	d.signal(syscall.SIGTERM)
+	d.signal(syscall.SIGTERM)
+	if got := <-answered; got.status != http.StatusOK || got.body != "booked" {
+		t.Errorf("under way: %d %q %v", got.status, got.body, got.err)
+	}
+	if err := d.command.Wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+	counter.check(t)
+}
