--- /dev/null
+++ b/internal/daemon/admitter.go
@@ -0,0 +1,163 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"sapphirespread.example/priority"
+	"sapphirespread.example/refusal"
+)
+
+const (
+	subcallWaits   = 2
+	minSubcallWait = 10 * time.Millisecond
+)
+
+// An admitter lets calls through to the backend server as its admission decides.
+type admitter struct {
+	mu        sync.Mutex
+	admission *priority.Admission
+	waiting   map[uint64]chan priority.Verdict
+	timer     *time.Timer
+	closed    bool
+}
+
+func newAdmitter(admission *priority.Admission) *admitter {
+	a := &admitter{admission: admission, waiting: make(map[uint64]chan priority.Verdict)}
+	a.timer = time.AfterFunc(time.Hour, a.tick)
+	return a
+}
+
+// enter waits until c is admitted or refused; an admitted call is ended with leave.
+func (a *admitter) enter(ctx context.Context, c *call) *attemptError {
+	verdict := make(chan priority.Verdict, 1)
+	waiting, cancel := context.WithTimeout(ctx, a.offer(c, verdict))
+	defer cancel()
+	select {
+	case v := <-verdict:
+		return refusalOf(v)
+	case <-waiting.Done():
+	}
+	if a.cancel(c.admissionID, verdict) {
+		a.leave(c.admissionID, priority.Result{Failed: true})
+	}
+	if ctx.Err() == nil {
+		return refuse(refusal.Overloaded, "a sub-call waited too long in the queue")
+	}
+	if time.Now().Before(c.deadline) {
+		return refuse(refusal.Cancelled, "the caller left before the request ran")
+	}
+	return refuse(refusal.DeadlineUnreachable, "the deadline passed in the queue")
+}
+
+func refusalOf(verdict priority.Verdict) *attemptError {
+	if verdict.Admitted {
+		return nil
+	}
+	return refuse(verdict.Kind, "refused by the target's admission")
+}
+
+// offer puts c to the admission and returns how long it may wait.
+func (a *admitter) offer(c *call, verdict chan priority.Verdict) time.Duration {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.waiting[c.admissionID] = verdict
+	a.deliver(now, a.admission.Offer(now, priority.Request{
+		ID:        c.admissionID,
+		WholeHash: c.wholeHash(),
+		Priority:  c.priority,
+		Workspace: c.workspace,
+		Share:     c.share,
+		Deadline:  c.deadline,
+	}))
+	return a.waitBound(now, c)
+}
+
+// waitBound bounds the wait of a sub-call by a few service times, as it holds slots of the targets above.
+func (a *admitter) waitBound(now time.Time, c *call) time.Duration {
+	remaining := c.remaining(now)
+	if c.depth == 0 {
+		return remaining
+	}
+	serviceTime := a.admission.ServiceTime(now, "")
+	return min(remaining, max(subcallWaits*serviceTime, minSubcallWait))
+}
+
+// cancel withdraws a waiting call and reports whether it had been admitted meanwhile.
+func (a *admitter) cancel(id uint64, verdict chan priority.Verdict) bool {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	select {
+	case v := <-verdict:
+		return v.Admitted
+	default:
+	}
+	delete(a.waiting, id)
+	a.deliver(now, a.admission.Cancel(now, id))
+	return false
+}
+
+// leave ends an admitted call.
+func (a *admitter) leave(id uint64, result priority.Result) {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.deliver(now, a.admission.Done(now, id, result))
+}
+
+// announce passes on what the backend server says of its slots.
+func (a *admitter) announce(slots int) {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.admission.Announce(now, slots)
+	a.deliver(now, a.admission.Tick(now))
+}
+
+func (a *admitter) level(now time.Time) priority.Level {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.admission.Level(now)
+}
+
+func (a *admitter) stats(now time.Time) priority.Stats {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.admission.Stats(now)
+}
+
+func (a *admitter) tick() {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.closed {
+		return
+	}
+	a.deliver(now, a.admission.Tick(now))
+}
+
+func (a *admitter) close() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.closed = true
+	a.timer.Stop()
+}
+
+// deliver hands verdicts to the waiting calls and sets the timer for the next tick; a.mu is held.
+func (a *admitter) deliver(now time.Time, verdicts []priority.Verdict) {
+	for _, verdict := range verdicts {
+		waiter, known := a.waiting[verdict.ID]
+		if !known {
+			continue
+		}
+		delete(a.waiting, verdict.ID)
+		waiter <- verdict
+	}
+	next := a.admission.NextTick(now)
+	if !next.IsZero() && !a.closed {
+		a.timer.Reset(next.Sub(now))
+	}
+}
--- a/internal/daemon/announce.go
+++ b/internal/daemon/announce.go
@@ -34,7 +34,7 @@
 		return
 	}
 	incarnation, started := d.backend.announce(time.Now(), said)
-	d.gate.announce(said.Slots)
+	d.admitter.announce(said.Slots)
 	d.announced(said, started)
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(announceAnswer{incarnation, announcementLifetime.String()})
--- a/internal/daemon/crash.go
+++ b/internal/daemon/crash.go
@@ -33,14 +33,14 @@
 	spread      chan struct{}
 }
 
-// A crashDesk makes one report of each crash, for which all calls that it broke wait.
-type crashDesk struct {
+// A crashReports makes one report of each crash, for which all calls that it broke wait.
+type crashReports struct {
 	mu     sync.Mutex
 	latest *crashReport
 }
 
 // open returns the report of incarnation's crash, and whether the caller is to make it.
-func (c *crashDesk) open(incarnation uint64) (*crashReport, bool) {
+func (c *crashReports) open(incarnation uint64) (*crashReport, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.latest != nil && c.latest.incarnation == incarnation {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -45,12 +45,12 @@
 	chooser     *target.Chooser
 	holder      *limit.Holder
 	tokenWait   *tokenWait
-	gate        *gate
+	admitter    *admitter
 	budgets     *budgets
 	resends     *retry.Resends
 	watch       *quarantine.Watch
 	quarantine  *quarantine.List
-	crashes     crashDesk
+	crashes     crashReports
 	tokens      *tokenTable
 	backend     *backend
 	pool        *peer.Pool
@@ -89,7 +89,7 @@
 	d.ring = timeline.NewRing(d.clock, s.Name, timelineSize)
 	d.backend = newBackend(d.incarnation)
 	d.chooser = target.NewChooser(d.table, target.WithFailureDomain(s.FailureDomain), target.WithDaemon(s.Name))
-	d.gate = newGate(priority.NewAdmission())
+	d.admitter = newAdmitter(priority.NewAdmission())
 	d.link = newLink(d)
 	d.tokenWait = newTokenWait(d.holder, d.link.kick)
 	d.liveness = newLiveness(d.alive, d.chooser.Heard)
@@ -108,7 +108,7 @@
 		return err
 	}
 	d.openPeers()
-	defer d.gate.close()
+	defer d.admitter.close()
 	linkCtx, stopLink := context.WithCancel(context.Background())
 	defer stopLink()
 	group, groupCtx := errgroup.WithContext(ctx)
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -160,7 +160,7 @@
 }
 
 // serveRequest reads the body, checks the request against its hashes, and answers it.
-func (d *Daemon) serveRequest(w http.ResponseWriter, r *http.Request, c *call, pay func(context.Context) *attemptError) {
+func (d *Daemon) serveRequest(w http.ResponseWriter, r *http.Request, c *call, spend func(context.Context) *attemptError) {
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	controller := http.NewResponseController(w)
@@ -173,7 +173,7 @@
 		d.refuseCaller(w, refuse(refusal.Quarantined, ""))
 		return
 	}
-	if refused := pay(ctx); refused != nil {
+	if refused := spend(ctx); refused != nil {
 		d.refuseCaller(w, refused)
 		return
 	}
--- a/internal/daemon/local.go
+++ b/internal/daemon/local.go
@@ -29,7 +29,7 @@
 	}
 	// Callers' daemons number their calls each for itself.
 	c.admissionID = d.nextCallID()
-	if refused := d.gate.enter(ctx, c); refused != nil {
+	if refused := d.admitter.enter(ctx, c); refused != nil {
 		return nil, run.refuse(refused)
 	}
 	run.admittedAt = time.Now()
@@ -287,7 +287,7 @@
 		r.watched.end(!early && crashed == "")
 	}
 	serviceTime := time.Since(r.admittedAt)
-	r.daemon.gate.leave(r.call.admissionID, priority.Result{Latency: serviceTime, Failed: early || crashed != ""})
+	r.daemon.admitter.leave(r.call.admissionID, priority.Result{Latency: serviceTime, Failed: early || crashed != ""})
 	r.done(r.daemon.reportOf(r.call, serviceTime, crashed))
 }
 
@@ -295,7 +295,7 @@
 func (d *Daemon) reportOf(c *call, serviceTime time.Duration, crashed string) callReport {
 	return callReport{
 		unused:      c.allowance.Take(c.allowance.Left()),
-		level:       d.gate.level(time.Now()),
+		level:       d.admitter.level(time.Now()),
 		draining:    d.draining(),
 		serviceTime: serviceTime,
 		crashed:     crashed,
