Move allowances by retry.Part, and drop what nothing read

Change: Move and Part in dispatch and sub-calls; localRun.reportCrash; the announcement by message.EncodeTarget; the unread fields are gone. Conclusion: behaviour is unchanged but for a target that returns more attempts than it was given, which no longer adds any.

--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -26,7 +26,6 @@
 	deadline       time.Time
 	repeatable     bool
 	depth          int
-	attempt        int
 	allowance      *retry.Allowance
 	idempotencyKey string
 	requestHash    [32]byte
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -268,10 +268,6 @@
 	d.ring.Record(time.Now(), part, text)
 }
 
-func (d *Daemon) now() time.Time {
-	return time.Now()
-}
-
 func (d *Daemon) snapshot() configuration.Snapshot {
 	snapshot, _ := d.view.Current(time.Now())
 	return snapshot
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -65,9 +65,9 @@
 
 // attempt sends c once to the chosen target.
 func (d *Daemon) attempt(ctx context.Context, c *call, chosen target.Choice) (*answer, *attemptError) {
-	given := c.allowance.Take((c.allowance.Left() + 1) / 2)
-	a := &attempt{daemon: d, parent: c, target: chosen.Target, sentAt: time.Now()}
-	child := c.child(d.nextCallID(), given)
+	part := c.allowance.Move((c.allowance.Left() + 1) / 2)
+	a := &attempt{daemon: d, parent: c, part: part, target: chosen.Target, sentAt: time.Now()}
+	child := c.child(d.nextCallID(), part.Size())
 	d.chooser.Sent(a.sentAt, chosen.Target.Name)
 	d.liveness.sent(a.sentAt, chosen.Target.Name, chosen.Target.Peer)
 	var got *answer
@@ -94,7 +94,6 @@
 		deadline:       c.deadline,
 		repeatable:     c.repeatable,
 		depth:          c.depth,
-		attempt:        c.attempt,
 		allowance:      retry.NewAllowance(allowance),
 		idempotencyKey: c.idempotencyKey,
 		requestHash:    c.requestHash,
@@ -116,7 +115,6 @@
 		c.allowance.Return(1)
 		return false
 	}
-	c.attempt++
 	return true
 }
 
@@ -139,6 +137,7 @@
 type attempt struct {
 	daemon  *Daemon
 	parent  *call
+	part    *retry.Part
 	target  target.Target
 	sentAt  time.Time
 	mu      sync.Mutex
@@ -150,7 +149,7 @@
 
 // done takes the target's report at the end of the call.
 func (a *attempt) done(report callReport) {
-	a.parent.allowance.Return(report.unused)
+	a.part.Return(report.unused)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.report = report
--- a/internal/daemon/linksession.go
+++ b/internal/daemon/linksession.go
@@ -217,18 +217,18 @@
 
 func (s *linkSession) announceMessage(said announcement, incarnation uint64, state string) *peerpb.DaemonMessage {
 	d := s.link.daemon
-	announce := &peerpb.Announce{
-		Target:        said.Name,
+	announce := message.EncodeTarget(target.Target{
+		Name:          said.Name,
 		Service:       said.Service,
 		FailureDomain: d.settings.FailureDomain,
-		PeerAddress:   d.peerAddress().String(),
-		Incarnation:   incarnation,
-		Slots:         int32(said.Slots),
-		State:         state,
-		InFlight:      int32(said.InFlight),
-		Connections:   int32(said.Connections),
 		Daemon:        d.settings.Name,
-	}
+		Peer:          d.peerAddress(),
+		Incarnation:   incarnation,
+		Slots:         said.Slots,
+		InFlight:      said.InFlight,
+		Connections:   said.Connections,
+	})
+	announce.State = state
 	return &peerpb.DaemonMessage{Body: &peerpb.DaemonMessage_Announce{Announce: announce}}
 }
 
--- a/internal/daemon/local.go
+++ b/internal/daemon/local.go
@@ -65,7 +65,7 @@
 
 // refuse ends a run that was not admitted.
 func (r *localRun) refuse(refused *attemptError) *attemptError {
-	r.done(r.daemon.reportOf(r.call, 0, ""))
+	r.done(r.daemon.reportOf(r.call, ""))
 	return refused
 }
 
@@ -217,10 +217,9 @@
 	r.finishClaimUnknown()
 	kind := r.failureKind(ctx)
 	crashed := ""
-	if kind == refusal.TargetFailed && probeCrash(ctx, r.said.Address) {
+	if kind == refusal.TargetFailed && r.reportCrash(ctx) {
 		crashed = r.said.Name
 		kind = refusal.TargetCrashed
-		r.daemon.handleCrash(r.said.Name, r.incarnation)
 	}
 	r.finish(kind == refusal.Cancelled, crashed)
 	refused := refuse(kind, err.Error())
@@ -228,6 +227,15 @@
 	return refused
 }
 
+// reportCrash reports a crash where the backend server is gone after a connection failed, and whether it is.
+func (r *localRun) reportCrash(ctx context.Context) bool {
+	if !probeCrash(ctx, r.said.Address) {
+		return false
+	}
+	r.daemon.handleCrash(r.said.Name, r.incarnation)
+	return true
+}
+
 func (r *localRun) failedBeforeRun(ctx context.Context, err error) *attemptError {
 	var dialError *net.OpError
 	if ctx.Err() == nil && errors.As(err, &dialError) && dialError.Op == "dial" {
@@ -288,16 +296,15 @@
 	}
 	serviceTime := time.Since(r.admittedAt)
 	r.daemon.admitter.leave(r.call.admissionID, priority.Result{Latency: serviceTime, Failed: early || crashed != ""})
-	r.done(r.daemon.reportOf(r.call, serviceTime, crashed))
+	r.done(r.daemon.reportOf(r.call, crashed))
 }
 
 // reportOf describes this target at the end of c and takes what is left of its allowance.
-func (d *Daemon) reportOf(c *call, serviceTime time.Duration, crashed string) callReport {
+func (d *Daemon) reportOf(c *call, crashed string) callReport {
 	return callReport{
-		unused:      c.allowance.Take(c.allowance.Left()),
-		level:       d.admitter.level(time.Now()),
-		draining:    d.draining(),
-		serviceTime: serviceTime,
-		crashed:     crashed,
+		unused:   c.allowance.Take(c.allowance.Left()),
+		level:    d.admitter.level(time.Now()),
+		draining: d.draining(),
+		crashed:  crashed,
 	}
 }
--- a/internal/daemon/localbody.go
+++ b/internal/daemon/localbody.go
@@ -36,8 +36,8 @@
 func (b *localBody) cut() {
 	run := b.run
 	ctx := b.response.Request.Context()
-	if run.failureKind(ctx) == refusal.TargetFailed && probeCrash(ctx, run.said.Address) {
-		run.daemon.handleCrash(run.said.Name, run.incarnation)
+	if run.failureKind(ctx) == refusal.TargetFailed {
+		run.reportCrash(ctx)
 	}
 	b.end(false)
 }
--- a/internal/daemon/remote.go
+++ b/internal/daemon/remote.go
@@ -96,7 +96,6 @@
 		Depth:             int32(c.depth),
 		Repeatable:        c.repeatable,
 		TrailerNames:      c.head.trailerNames,
-		Attempt:           int32(c.attempt),
 	}
 }
 
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -33,7 +33,6 @@
 		deadline:       now.Add(time.Duration(head.GetRemainingUs()) * time.Microsecond),
 		repeatable:     head.GetRepeatable(),
 		depth:          int(head.GetDepth()),
-		attempt:        int(head.GetAttempt()),
 		allowance:      retry.NewAllowance(int(head.GetAllowance())),
 		idempotencyKey: head.GetIdempotencyKey(),
 		head: requestHead{
--- a/internal/daemon/subcall.go
+++ b/internal/daemon/subcall.go
@@ -32,7 +32,9 @@
 		d.refuseCaller(w, refused)
 		return
 	}
-	defer func() { parent.allowance.Return(c.allowance.Take(c.allowance.Left())) }()
+	part := parent.allowance.Move((parent.allowance.Left() + 1) / 2)
+	c.allowance = retry.NewAllowance(part.Size())
+	defer func() { part.Return(c.allowance.Take(c.allowance.Left())) }()
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	defer context.AfterFunc(parent.running, cancel)()
@@ -64,7 +66,6 @@
 	if !c.repeatable {
 		c.idempotencyKey = deriveKey(r, parent, matched, name)
 	}
-	c.allowance = retry.NewAllowance(parent.allowance.Take((parent.allowance.Left() + 1) / 2))
 	return c, nil
 }
 
