Report the refusal of a peer also where its answer was not confirmed

The server sends its welcome with the refusal; the dialler reads it and ends the session at once. yamux then returns 'session shutdown' from the write, though its bytes had gone out, and the log named that error in place of the refusal. Ruled out: an unread or lost welcome; the dialler had it in each failure. Conclusion: where a peer is refused, the refusal is the error, whatever the write returns.

--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -48,11 +48,12 @@
 	case hello.GetProcess() == "":
 		answer.Error = "process has no name"
 	}
-	if err := stream.Send(answer); err != nil {
-		return Identity{}, fmt.Errorf("sending welcome: %w", err)
-	}
+	err := stream.Send(answer)
 	if answer.GetError() != "" {
 		return Identity{}, fmt.Errorf("refusing peer: %s", answer.GetError())
 	}
+	if err != nil {
+		return Identity{}, fmt.Errorf("sending welcome: %w", err)
+	}
 	return Identity{Cluster: hello.GetCluster(), Process: hello.GetProcess(), Incarnation: hello.GetIncarnation()}, nil
 }
