Record the decision inputs of daemons, and replay recorded traces

Decision packages had traces written by hand only; nothing kept the inputs of a real run. A daemon now calls admission, table and chooser, holder, retry budgets, and list and watch of fingerprints through interfaces; with a recorder (internal/trace) each call is kept with its time and outcome, up to a bound.

Ruled out: an observer inside the decision packages (a check on each call, and a change in each of them), and a text form of our own (needs a parser).

--- a/internal/cmd/measurecmd.go
+++ b/internal/cmd/measurecmd.go
@@ -30,6 +30,7 @@
 			&cli.DurationFlag{Name: "trigger", Usage: "`time` that the trigger lasts", Value: 10 * time.Second},
 			&cli.DurationFlag{Name: "after", Usage: "`time` after the trigger", Value: 8 * time.Second},
 			&cli.StringFlag{Name: "plot", Usage: "`folder` for a plot of goodput over time a scenario"},
+			&cli.StringFlag{Name: "record", Usage: "`folder` for traces of what daemons of sapphirespread decided, to be replayed by tests"},
 			outputFlag(),
 		},
 		Action: func(ctx context.Context, c *cli.Command) error { return a.runMeasure(ctx, c) },
@@ -68,7 +69,7 @@
 	var results []measure.Result
 	for _, system := range command.StringSlice("systems") {
 		_, _ = fmt.Fprintf(a.stderr, "measure: %s, %s, %s\n", name, scenario, system)
-		result, err := measure.Run(ctx, measure.SystemName(system), chosen, whole.Scaled(scale), command.Uint64("seed"), times)
+		result, err := runRecorded(ctx, command, measure.SystemName(system), chosen, whole.Scaled(scale), times)
 		if err != nil {
 			return nil, err
 		}
@@ -83,6 +84,22 @@
 	return results, nil
 }
 
+// runRecorded runs one scenario, and writes what the daemons of sapphirespread decided where that is asked for.
+func runRecorded(
+	ctx context.Context, command *cli.Command, system measure.SystemName, s measure.Scenario, d deployment.Deployment, times measure.Times,
+) (measure.Result, error) {
+	seed, folder := command.Uint64("seed"), command.String("record")
+	if folder == "" || system != measure.Sapphirespread {
+		return measure.Run(ctx, system, s, d, seed, times)
+	}
+	recording := measure.NewRecording()
+	result, err := measure.Run(ctx, system, s, d, seed, times, measure.WithRecording(recording))
+	if err != nil {
+		return result, err
+	}
+	return result, recording.Write(folder, s, d, seed, times)
+}
+
 func checkMeasure(command *cli.Command) error {
 	for _, scenario := range chosenScenarios(command.StringSlice("scenario")) {
 		if _, err := measure.FindScenario(scenario); err != nil {
--- a/internal/daemon/admitter.go
+++ b/internal/daemon/admitter.go
@@ -17,13 +17,13 @@
 // An admitter lets calls through to the backend server as its admission decides.
 type admitter struct {
 	mu        sync.Mutex
-	admission *priority.Admission
+	admission admission
 	waiting   map[uint64]chan priority.Verdict
 	timer     *time.Timer
 	closed    bool
 }
 
-func newAdmitter(admission *priority.Admission) *admitter {
+func newAdmitter(admission admission) *admitter {
 	a := &admitter{admission: admission, waiting: make(map[uint64]chan priority.Verdict)}
 	a.timer = time.AfterFunc(time.Hour, a.tick)
 	return a
--- a/internal/daemon/budgets.go
+++ b/internal/daemon/budgets.go
@@ -2,25 +2,28 @@
 
 import (
 	"sync"
+	"time"
 
 	"sapphirespread.example/configuration"
+	"sapphirespread.example/internal/trace"
 	"sapphirespread.example/retry"
 )
 
 // A budgets holds the retry budget of each service.
 type budgets struct {
 	mu        sync.RWMutex
+	recorder  *trace.Recorder
 	byService map[string]*serviceBudget
 }
 
 type serviceBudget struct {
-	budget  *retry.Budget
+	budget  retryBudget
 	share   float64
 	minimum float64
 }
 
-func newBudgets() *budgets {
-	return &budgets{byService: make(map[string]*serviceBudget)}
+func newBudgets(recorder *trace.Recorder) *budgets {
+	return &budgets{recorder: recorder, byService: make(map[string]*serviceBudget)}
 }
 
 // reconfigure makes new budgets for the services whose settings changed.
@@ -32,20 +35,27 @@
 		if current != nil && current.share == service.RetryBudget && current.minimum == service.MinimumRetriesPerSecond {
 			continue
 		}
-		b.byService[service.Name] = newServiceBudget(service)
+		b.byService[service.Name] = b.newServiceBudget(service)
 	}
 }
 
-func newServiceBudget(service configuration.Service) *serviceBudget {
+func (b *budgets) newServiceBudget(service configuration.Service) *serviceBudget {
 	return &serviceBudget{
-		budget:  retry.NewBudget(service.RetryBudget, service.MinimumRetriesPerSecond),
+		budget:  b.newBudget(service),
 		share:   service.RetryBudget,
 		minimum: service.MinimumRetriesPerSecond,
 	}
 }
 
+func (b *budgets) newBudget(service configuration.Service) retryBudget {
+	if b.recorder == nil {
+		return retry.NewBudget(service.RetryBudget, service.MinimumRetriesPerSecond)
+	}
+	return b.recorder.Budget(time.Now(), service.Name, service.RetryBudget, service.MinimumRetriesPerSecond)
+}
+
 // of returns the budget of service; an unknown service may not be retried.
-func (b *budgets) of(service string) *retry.Budget {
+func (b *budgets) of(service string) retryBudget {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 	if known := b.byService[service]; known != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,9 +17,7 @@
 	"sapphirespread.example/configuration"
 	"sapphirespread.example/internal/peer"
 	"sapphirespread.example/internal/settings"
-	"sapphirespread.example/limit"
-	"sapphirespread.example/priority"
-	"sapphirespread.example/quarantine"
+	"sapphirespread.example/internal/trace"
 	"sapphirespread.example/retry"
 	"sapphirespread.example/target"
 	"sapphirespread.example/timeline"
@@ -41,15 +39,16 @@
 	clock       *timeline.Clock
 	ring        *timeline.Ring
 	view        *configuration.View
-	table       *target.Table
-	chooser     *target.Chooser
-	holder      *limit.Holder
+	recorder    *trace.Recorder
+	table       table
+	chooser     chooser
+	holder      holder
 	tokenWait   *tokenWait
 	admitter    *admitter
 	budgets     *budgets
 	resends     *retry.Resends
-	watch       *quarantine.Watch
-	quarantine  *quarantine.List
+	watch       watch
+	quarantine  quarantineList
 	crashes     crashReports
 	tokens      *tokenTable
 	backend     *backend
@@ -73,12 +72,7 @@
 		incarnation: uint64(time.Now().UnixNano()),
 		clock:       timeline.NewClock(),
 		view:        configuration.NewView(configuration.WithFreshness(s.Freshness)),
-		table:       target.NewTable(),
-		holder:      limit.NewHolder(),
-		budgets:     newBudgets(),
 		resends:     retry.NewResends(),
-		watch:       quarantine.NewWatch(),
-		quarantine:  quarantine.NewList(),
 		tokens:      newTokenTable(),
 		counters:    newCounters(),
 		inFlight:    newInFlight(),
@@ -88,8 +82,8 @@
 	}
 	d.ring = timeline.NewRing(d.clock, s.Name, timelineSize)
 	d.backend = newBackend(d.incarnation)
-	d.chooser = target.NewChooser(d.table, target.WithFailureDomain(s.FailureDomain), target.WithDaemon(s.Name))
-	d.admitter = newAdmitter(priority.NewAdmission())
+	d.budgets = newBudgets(d.recorder)
+	d.setDecisions()
 	d.link = newLink(d)
 	d.tokenWait = newTokenWait(d.holder, d.link.kick)
 	d.liveness = newLiveness(d.alive, d.chooser.Heard)
@@ -273,7 +267,7 @@
 	return snapshot
 }
 
-func (d *Daemon) budget(service string) *retry.Budget {
+func (d *Daemon) budget(service string) retryBudget {
 	return d.budgets.of(service)
 }
 
--- /dev/null
+++ b/internal/daemon/decisions.go
@@ -0,0 +1,97 @@
+package daemon
+
+import (
+	"time"
+
+	"sapphirespread.example/internal/trace"
+	"sapphirespread.example/limit"
+	"sapphirespread.example/priority"
+	"sapphirespread.example/quarantine"
+	"sapphirespread.example/target"
+)
+
+// An admission is a priority.Admission, or one that is recorded.
+type admission interface {
+	Offer(now time.Time, r priority.Request) []priority.Verdict
+	Done(now time.Time, id uint64, result priority.Result) []priority.Verdict
+	Cancel(now time.Time, id uint64) []priority.Verdict
+	Tick(now time.Time) []priority.Verdict
+	NextTick(now time.Time) time.Time
+	Announce(now time.Time, slots int)
+	Level(now time.Time) priority.Level
+	Stats(now time.Time) priority.Stats
+	ServiceTime(now time.Time, route string) time.Duration
+}
+
+// A table is a target.Table, or one that is recorded.
+type table interface {
+	Version() (epoch, version uint64)
+	Apply(epoch, from, to uint64, whole bool, changes []target.Change) error
+}
+
+// A chooser is a target.Chooser, or one that is recorded.
+type chooser interface {
+	Choose(now time.Time, random uint64, service string, wholeHash uint64, priority int, exclude []string) (choice target.Choice, ok, shed bool)
+	Sent(now time.Time, name string)
+	Answered(now time.Time, name string, o target.Observation)
+	Heard(now time.Time, name string)
+}
+
+// A holder is a limit.Holder, or one that is recorded.
+type holder interface {
+	Spend(now time.Time, workspace string, tokens int64) bool
+	Wait(now time.Time, workspace string)
+	Unwait(workspace string)
+	Asks(now time.Time) []limit.Ask
+	Accept(now time.Time, g limit.Grant) bool
+	Hint(workspace string) time.Duration
+	Idle(now time.Time) []limit.Return
+	Drop() []limit.Return
+	Disconnect()
+}
+
+// A retryBudget is a retry.Budget, or one that is recorded.
+type retryBudget interface {
+	Success(now time.Time)
+	Withdraw(now time.Time) bool
+}
+
+// A quarantineList is a quarantine.List, or one that is recorded.
+type quarantineList interface {
+	Apply(version uint64, whole bool, entries []quarantine.Entry, cleared []quarantine.Fingerprint)
+	Reset()
+	Version() uint64
+	Verdict(now time.Time, fp quarantine.Fingerprint) quarantine.State
+}
+
+// A watch is a quarantine.Watch, or one that is recorded.
+type watch interface {
+	Start(fp quarantine.Fingerprint) quarantine.Run
+	End(run quarantine.Run) bool
+	Crash() []quarantine.Fingerprint
+}
+
+// WithRecorder makes recorder keep what the daemon's decision packages are asked and decide.
+func WithRecorder(recorder *trace.Recorder) Option {
+	return func(d *Daemon) { d.recorder = recorder }
+}
+
+// setDecisions makes the decision packages, which are recorded where there is a recorder.
+func (d *Daemon) setDecisions() {
+	known := target.NewTable()
+	choosing := target.NewChooser(known, target.WithFailureDomain(d.settings.FailureDomain), target.WithDaemon(d.settings.Name))
+	admitting := priority.NewAdmission()
+	held := limit.NewHolder()
+	list, watched := quarantine.NewList(), quarantine.NewWatch()
+	if d.recorder == nil {
+		d.table, d.chooser, d.holder = known, choosing, held
+		d.quarantine, d.watch = list, watched
+		d.admitter = newAdmitter(admitting)
+		return
+	}
+	recorded := d.recorder.Targets(known, choosing)
+	suspecting := d.recorder.Quarantine(list, watched)
+	d.quarantine, d.watch = suspecting, suspecting
+	d.table, d.chooser, d.holder = recorded, recorded, d.recorder.Holder(held)
+	d.admitter = newAdmitter(d.recorder.Admission(admitting))
+}
--- a/internal/daemon/tokenwait.go
+++ b/internal/daemon/tokenwait.go
@@ -18,7 +18,7 @@
 
 // A tokenWait spends the rate of workspaces, and makes calls wait in a queue a workspace for grants.
 type tokenWait struct {
-	holder *limit.Holder
+	holder holder
 	kick   func()
 	mu     sync.Mutex
 	queues map[string]*limit.Queue[*tokenWaiter]
@@ -31,7 +31,7 @@
 	until   time.Time
 }
 
-func newTokenWait(holder *limit.Holder, kick func()) *tokenWait {
+func newTokenWait(holder holder, kick func()) *tokenWait {
 	return &tokenWait{holder: holder, kick: kick, queues: make(map[string]*limit.Queue[*tokenWaiter])}
 }
 
--- a/internal/measure/cluster.go
+++ b/internal/measure/cluster.go
@@ -128,6 +128,7 @@
 				control:       addresses,
 				logger:        c.setup.Logger,
 			}
+			instance.recorder = c.setup.Recording.of(instance.name, instance.failureDomain)
 			if err := instance.open(); err != nil {
 				return err
 			}
--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -34,7 +34,7 @@
 	for _, service := range d.Services {
 		for i, slots := range service.Slots {
 			opts := []standin.ServerOption{
-				standin.WithName(fmt.Sprintf("%s-%d", service.Name, i+1)),
+				standin.WithName(targetName(service.Name, i)),
 				standin.WithSlots(slots),
 				standin.WithConnections(service.Connections[i]),
 				standin.WithWork(service.Work, standin.Lognormal),
@@ -52,6 +52,11 @@
 	return fleet, nil
 }
 
+// targetName returns the name of a target of service by its number.
+func targetName(service string, number int) string {
+	return fmt.Sprintf("%s-%d", service, number+1)
+}
+
 // Start runs the stand-ins until Stop.
 func (f *Fleet) Start(ctx context.Context) {
 	ctx, f.cancel = context.WithCancel(ctx)
--- a/internal/measure/instance.go
+++ b/internal/measure/instance.go
@@ -11,6 +11,7 @@
 	"sapphirespread.example/internal/daemon"
 	"sapphirespread.example/internal/settings"
 	"sapphirespread.example/internal/standin"
+	"sapphirespread.example/internal/trace"
 	"sapphirespread.example/timeline"
 )
 
@@ -29,6 +30,7 @@
 	name, failureDomain string
 	control             []netip.AddrPort
 	logger              zerolog.Logger
+	recorder            *trace.Recorder // of the first daemon
 	mu                  sync.Mutex
 	addresses           [listenersEach]netip.AddrPort
 	listeners           [listenersEach]*standin.Listener
@@ -63,7 +65,7 @@
 			ReadHeader: readHeaderTimeout, Idle: idleTimeout, BodyStall: bodyStallTimeout, Dial: dialTimeout, Drain: drainTimeout,
 		},
 	}
-	i.daemon = daemon.New(s, daemon.WithLogger(i.logger), daemon.WithListeners(daemon.Listeners{
+	i.daemon = daemon.New(s, daemon.WithLogger(i.logger), daemon.WithRecorder(i.recorder), daemon.WithListeners(daemon.Listeners{
 		Callers: i.listeners[0], Peers: i.listeners[1], Subcalls: i.listeners[2], Operators: i.listeners[3],
 	}))
 	i.process = startProcess(ctx, i.daemon.Run)
@@ -79,6 +81,7 @@
 	}
 	<-i.process.ended
 	i.past = append(i.past, i.daemon.Events()...)
+	i.recorder = nil
 }
 
 func (i *instance) ready(ctx context.Context) bool {
--- a/internal/measure/run.go
+++ b/internal/measure/run.go
@@ -14,8 +14,16 @@
 
 const keyLength = 16
 
+// A RunOption configures a run.
+type RunOption func(*Setup)
+
+// WithRecording makes recording take the decisions of the daemons of sapphirespread.
+func WithRecording(recording *Recording) RunOption {
+	return func(s *Setup) { s.Recording = recording }
+}
+
 // Run runs one scenario against one system and judges it; d is scaled already.
-func Run(ctx context.Context, name SystemName, s Scenario, d deployment.Deployment, seed uint64, times Times) (Result, error) {
+func Run(ctx context.Context, name SystemName, s Scenario, d deployment.Deployment, seed uint64, times Times, opts ...RunOption) (Result, error) {
 	plan := s.Plan(d, seed, times)
 	if err := plan.Check(); err != nil {
 		return Result{}, err
@@ -24,11 +32,14 @@
 		plan.Workspaces[i].Key = newKey()
 	}
 	setup := Setup{Deployment: d, Workspaces: plan.Workspaces, Seed: seed, Downtime: times.Trigger}
+	for _, opt := range opts {
+		opt(&setup)
+	}
 	system, err := StartSystem(ctx, name, setup)
 	if err != nil {
 		return Result{}, errorx.Decorate(err, "start system %s", name)
 	}
-	report := apply(ctx, system, s, d, plan, times)
+	report := apply(ctx, system, s, setup, plan, times)
 	result := Result{
 		Scenario: s.Name, Deployment: d.Name, System: name, Seed: seed, Times: times,
 		Repeated: system.Fleet().Repeated(), Latency: report.Latency, Refusals: report.Refusals,
@@ -44,19 +55,21 @@
 }
 
 // apply sends the load and brings about the trigger.
-func apply(ctx context.Context, system System, s Scenario, d deployment.Deployment, plan load.Plan, times Times) load.Report {
+func apply(ctx context.Context, system System, s Scenario, setup Setup, plan load.Plan, times Times) load.Report {
 	client := load.NewClient(system.Entries, plan.Seed)
 	defer client.Close()
 	start := time.Now()
+	setup.Recording.triggered(start.Add(times.Before))
 	recorder := load.NewRecorder(plan, start, s.Steady(times))
 	triggers := make(chan struct{})
 	go func() {
 		defer close(triggers)
-		s.pull(ctx, system, d, start, times)
+		s.pull(ctx, system, setup.Deployment, start, times)
 	}()
 	retrier := func(time.Duration) load.Retrier { return s.Retrier }
 	load.NewRunner(plan, client, load.WithRetrier(retrier)).Run(ctx, recorder)
 	<-triggers
+	setup.Recording.ended()
 	return recorder.Report()
 }
 
--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -37,6 +37,7 @@
 	begin   func(d deployment.Deployment, s System)
 	end     func(d deployment.Deployment, s System)
 	impair  func(d deployment.Deployment) []deployment.Impairment
+	victim  func(d deployment.Deployment) string // the target that is killed
 }
 
 // Times are the lengths of the parts of a run.
@@ -62,7 +63,7 @@
 		{Name: "surge", Limit: plentifulLimit, Retrier: hard, Trigger: true, phases: surge(surgeFactor)},
 		{Name: "slow-service", Limit: plentifulLimit, Retrier: hard, Trigger: true, begin: slowDeep, end: healDeep, impair: deepImpairment},
 		{Name: "tenant", Limit: tenantLimit, Retrier: hard, Trigger: true, phases: tenant},
-		{Name: "target-killed", Limit: plentifulLimit, Retrier: hard, Trigger: true, begin: killDeep, impair: oneTargetGone},
+		{Name: "target-killed", Limit: plentifulLimit, Retrier: hard, Trigger: true, begin: killDeep, impair: oneTargetGone, victim: firstDeep},
 		{Name: "domain-lost", Limit: plentifulLimit, Retrier: hard, Trigger: true, begin: loseDomain, end: restoreDomain, impair: oneDomainGone},
 		{
 			Name: "retry-storm", Limit: plentifulLimit, Retrier: load.Retrier{Attempts: stormAttempts, Pause: stormPause, Hard: true},
--- a/internal/measure/system.go
+++ b/internal/measure/system.go
@@ -48,6 +48,8 @@
 	// Folder holds the data of the control instances; a temporary one by default.
 	Folder string
 	Logger zerolog.Logger
+	// Recording takes the decisions of the daemons, where it is set.
+	Recording *Recording
 }
 
 // StartSystem starts the system called name and returns once it can serve.
--- a/internal/measure/trigger.go
+++ b/internal/measure/trigger.go
@@ -44,6 +44,11 @@
 	s.Fleet().Kill(deep(d))
 }
 
+// firstDeep returns the target that killDeep kills.
+func firstDeep(d deployment.Deployment) string {
+	return targetName(deep(d), 0)
+}
+
 func oneTargetGone(d deployment.Deployment) []deployment.Impairment {
 	service, _ := d.Service(deep(d))
 	left := service.SlotsLeft(func(target int) bool { return target != 0 })
--- /dev/null
+++ b/internal/trace/admissionstep.go
@@ -0,0 +1,80 @@
+package trace
+
+import (
+	"fmt"
+	"time"
+
+	"sapphirespread.example/priority"
+)
+
+// An AdmissionCall is what an admission was asked.
+type AdmissionCall string
+
+// The calls of an admission; a level is only recorded when it has changed.
+const (
+	Offer    AdmissionCall = "offer"
+	Done     AdmissionCall = "done"
+	Cancel   AdmissionCall = "cancel"
+	Tick     AdmissionCall = "tick"
+	Announce AdmissionCall = "announce"
+	Level    AdmissionCall = "level"
+)
+
+// An AdmissionStep is one call of an admission with its verdicts.
+type AdmissionStep struct {
+	At        time.Duration      `json:"at"`
+	Call      AdmissionCall      `json:"call"`
+	ID        uint64             `json:"id,omitempty"`
+	WholeHash uint64             `json:"hash,omitempty"`
+	Priority  int                `json:"priority,omitempty"`
+	Workspace string             `json:"workspace,omitempty"`
+	Route     string             `json:"route,omitempty"`
+	Share     float64            `json:"share,omitempty"`
+	Deadline  time.Duration      `json:"deadline,omitempty"` // from the start of the recording
+	Latency   time.Duration      `json:"latency,omitempty"`
+	Failed    bool               `json:"failed,omitempty"`
+	Slots     int                `json:"slots,omitempty"`
+	Verdicts  []priority.Verdict `json:"-"`
+	Level     priority.Level     `json:"-"`
+}
+
+// Time returns when the admission was called.
+func (s AdmissionStep) Time() time.Duration { return s.At }
+
+// Outcome returns the verdicts, or the level.
+func (s AdmissionStep) Outcome() []string {
+	if s.Call == Level {
+		return []string{fmt.Sprintf("level %d %.4f", s.Level.Priority, s.Level.Share)}
+	}
+	var lines []string
+	for _, verdict := range s.Verdicts {
+		if verdict.Admitted {
+			lines = append(lines, fmt.Sprintf("%d admitted", verdict.ID))
+		} else {
+			lines = append(lines, fmt.Sprintf("%d %s", verdict.ID, verdict.Kind))
+		}
+	}
+	return lines
+}
+
+// take repeats the call.
+func (s AdmissionStep) take(a *Admission) {
+	now := a.start.Add(s.At)
+	switch s.Call {
+	case Offer:
+		a.Offer(now, priority.Request{
+			ID: s.ID, WholeHash: s.WholeHash, Priority: s.Priority, Workspace: s.Workspace, Route: s.Route, Share: s.Share,
+			Deadline: instant(a.start, s.Deadline),
+		})
+	case Done:
+		a.Done(now, s.ID, priority.Result{Latency: s.Latency, Failed: s.Failed})
+	case Cancel:
+		a.Cancel(now, s.ID)
+	case Tick:
+		a.Tick(now)
+	case Announce:
+		a.Announce(now, s.Slots)
+	case Level:
+		a.recordLevel(now, a.Admission.Level(now))
+	}
+}
--- /dev/null
+++ b/internal/trace/targetstep.go
@@ -0,0 +1,103 @@
+package trace
+
+import (
+	"fmt"
+	"time"
+
+	"sapphirespread.example/priority"
+	"sapphirespread.example/target"
+)
+
+// A TargetCall is what a table or a chooser of targets was asked.
+type TargetCall string
+
+// The calls of a table and a chooser.
+const (
+	Apply    TargetCall = "apply"
+	Choose   TargetCall = "choose"
+	Sent     TargetCall = "sent"
+	Answered TargetCall = "answered"
+	Heard    TargetCall = "heard"
+)
+
+// A TargetStep is one call of a table or a chooser with the choice.
+type TargetStep struct {
+	At          time.Duration      `json:"at"`
+	Call        TargetCall         `json:"call"`
+	Epoch       uint64             `json:"epoch,omitempty"`
+	From        uint64             `json:"from,omitempty"`
+	To          uint64             `json:"to,omitempty"`
+	Whole       bool               `json:"whole,omitempty"`
+	Changes     []TargetChange     `json:"changes,omitempty"`
+	Random      uint64             `json:"random,omitempty"`
+	Service     string             `json:"service,omitempty"`
+	WholeHash   uint64             `json:"hash,omitempty"`
+	Priority    int                `json:"priority,omitempty"`
+	Exclude     []string           `json:"exclude,omitempty"`
+	Name        string             `json:"name,omitempty"`
+	Observation *TargetObservation `json:"observation,omitempty"`
+	Choice      target.Choice      `json:"-"`
+	Found, Shed bool               `json:"-"`
+	Err         error              `json:"-"`
+}
+
+// A TargetObservation is a target.Observation with its times from the start of the recording.
+type TargetObservation struct {
+	Kind       target.AnswerKind `json:"kind"`
+	Latency    time.Duration     `json:"latency"`
+	Draining   bool              `json:"draining,omitempty"`
+	Priority   int               `json:"priority,omitempty"`
+	Share      float64           `json:"share,omitempty"`
+	ValidUntil time.Duration     `json:"valid-until,omitempty"`
+}
+
+// Time returns when the table or chooser was called.
+func (s TargetStep) Time() time.Duration { return s.At }
+
+// Outcome returns the choice, or why a delta was not taken.
+func (s TargetStep) Outcome() []string {
+	switch {
+	case s.Err != nil:
+		return []string{s.Err.Error()}
+	case s.Call != Choose:
+		return nil
+	case s.Found:
+		return []string{fmt.Sprintf("%s %s", s.Service, s.Choice.Target.Name)}
+	case s.Shed:
+		return []string{s.Service + " shed"}
+	default:
+		return []string{s.Service + " none"}
+	}
+}
+
+// take repeats the call.
+func (s TargetStep) take(t *Targets) {
+	now := t.start.Add(s.At)
+	switch s.Call {
+	case Apply:
+		_ = t.apply(now, s.Epoch, s.From, s.To, s.Whole, s.changes())
+	case Choose:
+		t.Choose(now, s.Random, s.Service, s.WholeHash, s.Priority, s.Exclude)
+	case Sent:
+		t.Sent(now, s.Name)
+	case Answered:
+		t.Answered(now, s.Name, s.Observation.at(t.start))
+	case Heard:
+		t.Heard(now, s.Name)
+	}
+}
+
+// observationOf leaves out a level that has ended already.
+func observationOf(start, now time.Time, o target.Observation) *TargetObservation {
+	observed := &TargetObservation{Kind: o.Kind, Latency: o.Latency, Draining: o.Draining}
+	if now.Before(o.Level.ValidUntil) {
+		observed.Priority, observed.Share = o.Level.Priority, o.Level.Share
+		observed.ValidUntil = offset(start, o.Level.ValidUntil)
+	}
+	return observed
+}
+
+func (o TargetObservation) at(start time.Time) target.Observation {
+	level := priority.Level{Priority: o.Priority, Share: o.Share, ValidUntil: instant(start, o.ValidUntil)}
+	return target.Observation{Kind: o.Kind, Latency: o.Latency, Draining: o.Draining, Level: level}
+}
--- /dev/null
+++ b/internal/trace/text.go
@@ -0,0 +1,49 @@
+package trace
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+)
+
+// Inputs returns the steps without their outcomes, a line of JSON each.
+func Inputs[S any](steps []S) (string, error) {
+	var text strings.Builder
+	encoder := json.NewEncoder(&text)
+	for _, step := range steps {
+		if err := encoder.Encode(step); err != nil {
+			return "", fmt.Errorf("encoding a step: %w", err)
+		}
+	}
+	return text.String(), nil
+}
+
+// Parse reads what Inputs wrote.
+func Parse[S any](text string) ([]S, error) {
+	var steps []S
+	decoder := json.NewDecoder(strings.NewReader(text))
+	decoder.DisallowUnknownFields()
+	for {
+		var step S
+		err := decoder.Decode(&step)
+		if err == io.EOF {
+			return steps, nil
+		}
+		if err != nil {
+			return nil, fmt.Errorf("decoding step %d: %w", len(steps)+1, err)
+		}
+		steps = append(steps, step)
+	}
+}
+
+// Outcomes returns a line for each thing that was decided, with its time.
+func Outcomes[S Step](steps []S) string {
+	var text strings.Builder
+	for _, step := range steps {
+		for _, outcome := range step.Outcome() {
+			fmt.Fprintf(&text, "%s %s\n", step.Time(), outcome)
+		}
+	}
+	return text.String()
+}
--- /dev/null
+++ b/internal/trace/trace_test.go
@@ -0,0 +1,184 @@
+package trace_test
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"sapphirespread.example/internal/trace"
+	"sapphirespread.example/limit"
+	"sapphirespread.example/priority"
+	"sapphirespread.example/target"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+// TestBoundKeepsTheBeginning checks that a full recording is a beginning, and that a stopped one stays so.
+func TestBoundKeepsTheBeginning(t *testing.T) {
+	r := trace.NewRecorder(start, 2)
+	a := r.Admission(priority.NewAdmission())
+	h := r.Holder(limit.NewHolder())
+	h.Wait(start, "club")
+	r.Stop()
+	h.Unwait("club")
+	for id := range uint64(3) {
+		a.Offer(at(time.Duration(id)), priority.Request{ID: id + 1, Share: 1})
+	}
+	steps := r.AdmissionSteps()
+	if len(steps) != 0 || len(r.HolderSteps()) != 1 {
+		t.Errorf("%d and %d steps after a stop, want 0 and 1", len(steps), len(r.HolderSteps()))
+	}
+	r = trace.NewRecorder(start, 2)
+	a = r.Admission(priority.NewAdmission())
+	for id := range uint64(3) {
+		a.Offer(at(time.Duration(id)), priority.Request{ID: id + 1, Share: 1})
+	}
+	if steps = r.AdmissionSteps(); len(steps) != 2 || steps[0].ID != 1 || steps[1].ID != 2 {
+		t.Errorf("%+v, want the first two", steps)
+	}
+}
+
+// TestQuietCallsAreReplayed checks that calls that were put together bring the same asks when replayed.
+func TestQuietCallsAreReplayed(t *testing.T) {
+	r := trace.NewRecorder(start, trace.DefaultBound)
+	h := r.Holder(limit.NewHolder())
+	now := start
+	poll := func(times int) {
+		for range times {
+			now = now.Add(3 * time.Millisecond)
+			h.Idle(now)
+			h.Asks(now)
+		}
+	}
+	poll(20)
+	h.Wait(now, "club")
+	poll(20)
+	h.Accept(now, limit.Grant{ID: 1, Workspace: "club", Tokens: 9, Duration: 500 * time.Millisecond})
+	h.Spend(now, "club", 1)
+	h.Unwait("club")
+	poll(200)
+	steps := r.HolderSteps()
+	short := trace.Shorten(steps)
+	if len(short) > len(steps)/10 {
+		t.Errorf("%d steps shortened to %d", len(steps), len(short))
+	}
+	if got, want := trace.Outcomes(trace.ReplayHolder(start, parsed(t, short))), trace.Outcomes(steps); got != want || want == "" {
+		t.Errorf("replayed:\n%s, want:\n%s", got, want)
+	}
+}
+
+// parsed returns steps as they come back from their text.
+func parsed[S any](t *testing.T, steps []S) []S {
+	t.Helper()
+	text, err := trace.Inputs(steps)
+	if err != nil {
+		t.Fatal(err)
+	}
+	read, err := trace.Parse[S](text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return read
+}
+
+// TestTextKeepsTheInputs checks that all inputs of a choice come back from the text as they were.
+func TestTextKeepsTheInputs(t *testing.T) {
+	r := trace.NewRecorder(start, trace.DefaultBound)
+	table := target.NewTable()
+	targets := r.Targets(table, target.NewChooser(table))
+	changes := []target.Change{
+		{Target: target.Target{Name: "t0", Service: "wind", Daemon: "d0", Incarnation: 1 << 62, Slots: 8, State: target.Ready}},
+		{Target: target.Target{Name: "t1", Service: "wind", Incarnation: 2}, Removed: true},
+	}
+	if err := targets.Apply(1, 0, 1, true, changes); err != nil {
+		t.Fatal(err)
+	}
+	level := priority.Level{Priority: 2, Share: 1.0 / 3, ValidUntil: at(time.Second)}
+	targets.Choose(at(1), 1<<63+1, "wind", 1<<63+3, 2, []string{"t1"})
+	targets.Sent(at(2), "t0")
+	targets.Answered(at(3), "t0", target.Observation{Kind: target.OK, Latency: 1, Level: level})
+	targets.Heard(at(4), "t0")
+	steps := r.TargetSteps()
+	again := trace.ReplayTargets(start, "", "", parsed(t, steps))
+	again[0].At = steps[0].At
+	if !reflect.DeepEqual(again, steps) {
+		t.Errorf("replayed %+v, want %+v", again, steps)
+	}
+	if _, err := trace.Parse[trace.TargetStep](`{"at":1,"call":"choose","key":"x"}`); err == nil {
+		t.Error("an unknown field was read")
+	}
+}
+
+type chooser interface {
+	Choose(now time.Time, random uint64, service string, wholeHash uint64, priority int, exclude []string) (target.Choice, bool, bool)
+}
+
+type admission interface {
+	Offer(now time.Time, r priority.Request) []priority.Verdict
+	Done(now time.Time, id uint64, result priority.Result) []priority.Verdict
+}
+
+type holder interface {
+	Spend(now time.Time, workspace string, tokens int64) bool
+}
+
+// BenchmarkOff compares direct calls with those that a daemon makes without a recorder.
+func BenchmarkOff(b *testing.B) {
+	a := priority.NewAdmission()
+	table := target.NewTable()
+	c := target.NewChooser(table)
+	h := limit.NewHolder()
+	var changes []target.Change
+	for i := range 5 {
+		changes = append(changes, target.Change{Target: target.Target{Name: fmt.Sprint("t", i), Service: "wind", State: target.Ready}})
+	}
+	if err := table.Apply(1, 0, 1, true, changes); err != nil {
+		b.Fatal(err)
+	}
+	h.Wait(start, "club")
+	h.Asks(start)
+	h.Accept(start, limit.Grant{ID: 1, Workspace: "club", Tokens: 1 << 30, Duration: time.Hour})
+	done := priority.Result{Latency: time.Millisecond}
+	for _, behind := range []bool{false, true} {
+		name := map[bool]string{false: "direct", true: "behind-interface"}[behind]
+		b.Run("admission/"+name, func(b *testing.B) {
+			id := uint64(0)
+			var through admission = a
+			for b.Loop() {
+				id++
+				if behind {
+					through.Offer(start, priority.Request{ID: id, Share: 1})
+					through.Done(start, id, done)
+					continue
+				}
+				a.Offer(start, priority.Request{ID: id, Share: 1})
+				a.Done(start, id, done)
+			}
+		})
+		b.Run("chooser/"+name, func(b *testing.B) {
+			random := uint64(0)
+			var through chooser = c
+			for b.Loop() {
+				random += 0x9e3779b97f4a7c15
+				if behind {
+					through.Choose(start, random, "wind", random, 1, nil)
+					continue
+				}
+				c.Choose(start, random, "wind", random, 1, nil)
+			}
+		})
+		b.Run("holder/"+name, func(b *testing.B) {
+			var through holder = h
+			for b.Loop() {
+				if behind {
+					through.Spend(start, "club", 1)
+					continue
+				}
+				h.Spend(start, "club", 1)
+			}
+		})
+	}
+}
