Measure a crashing request under load, and reports that lie

load.WithCrashing had no use, and no scenario had backend servers whose reports lie or lag. `crashing-request` sends one request that crashes what runs it ten times, 100 ms apart; `lying-reports` lets a third of the backend servers report four times their slots and a third a quarter, 10 s late. The new column `lost` counts crashes.

--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -11,6 +11,11 @@
 	"sapphirespread.example/internal/standin"
 )
 
+const (
+	reportedFactor = 4.0
+	reportLag      = 10 * time.Second
+)
+
 // A Target is one backend server stand-in with its place.
 type Target struct {
 	Service       string
@@ -85,6 +90,32 @@
 	}
 }
 
+// Lie makes one target in three report four times its slots, and one a quarter of them, each 10 s late.
+func (f *Fleet) Lie() {
+	factors := []float64{1, reportedFactor, 1 / reportedFactor}
+	for i, target := range f.targets {
+		if factor := factors[i%len(factors)]; factor != 1 {
+			target.Server.Distort(standin.Distortion{Lag: reportLag, SlotsFactor: factor, Health: standin.Honest})
+		}
+	}
+}
+
+// TellTruth ends all lies.
+func (f *Fleet) TellTruth() {
+	for _, target := range f.targets {
+		target.Server.Distort(standin.Distortion{SlotsFactor: 1, Health: standin.Honest})
+	}
+}
+
+// Lost returns how many times a backend server has crashed.
+func (f *Fleet) Lost() int {
+	lost := 0
+	for _, target := range f.targets {
+		lost += int(target.Server.Stats().Crashes)
+	}
+	return lost
+}
+
 // Kill crashes the first target of service.
 func (f *Fleet) Kill(service string) {
 	for _, target := range f.targets {
--- a/internal/measure/measure_test.go
+++ b/internal/measure/measure_test.go
@@ -120,3 +120,30 @@
 		}
 	}
 }
+
+// TestFaultsOfBackendServersUnderLoad sends a request that crashes whatever runs it, again and again, and
+// lets backend servers lie about their slots.
+func TestFaultsOfBackendServersUnderLoad(t *testing.T) {
+	brief := measure.Times{Before: 300 * time.Millisecond, Trigger: 1500 * time.Millisecond, After: 200 * time.Millisecond}
+	for _, c := range []struct {
+		scenario    string
+		system      measure.SystemName
+		least, most int
+	}{
+		{"crashing-request", measure.None, 3, 10},
+		{"crashing-request", measure.Sapphirespread, 1, 2},
+		{"lying-reports", measure.Sapphirespread, 0, 0},
+	} {
+		scenario, err := measure.FindScenario(c.scenario)
+		if err != nil {
+			t.Fatal(err)
+		}
+		result, err := measure.Run(t.Context(), c.system, scenario, deployment.Banevakt().Scaled(0.02), 1, brief)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if result.Lost < c.least || result.Lost > c.most || result.Verdicts[load.Good] == 0 {
+			t.Errorf("%s, %s: %d backend servers lost, want %d to %d; attempts %v", c.scenario, c.system, result.Lost, c.least, c.most, result.Verdicts)
+		}
+	}
+}
--- a/internal/measure/recordingfiles.go
+++ b/internal/measure/recordingfiles.go
@@ -84,7 +84,7 @@
 }
 
 func (r *Recording) quarantineText(s Scenario, _ deployment.Deployment, _ load.Plan) (string, error) {
-	if s.victim == nil {
+	if s.victim == nil && s.crashing == nil {
 		return "", nil
 	}
 	name := r.crashed()
--- a/internal/measure/result.go
+++ b/internal/measure/result.go
@@ -31,7 +31,9 @@
 	Within           int64   `json:"within"`
 	WrongfulRatio    float64 `json:"wrongful-ratio"`
 	// Repeated counts requests that ran more than once although they may not.
-	Repeated   int                    `json:"repeated"`
+	Repeated int `json:"repeated"`
+	// Lost counts the crashes of backend servers.
+	Lost       int                    `json:"lost"`
 	Latency    load.Latency           `json:"latency-ns"`
 	Refusals   map[refusal.Kind]int64 `json:"refusals"`
 	Verdicts   map[load.Verdict]int64 `json:"verdicts"`
--- a/internal/measure/run.go
+++ b/internal/measure/run.go
@@ -42,7 +42,7 @@
 	report := apply(ctx, system, s, setup, plan, times)
 	result := Result{
 		Scenario: s.Name, Deployment: d.Name, System: name, Seed: seed, Times: times,
-		Repeated: system.Fleet().Repeated(), Latency: report.Latency, Refusals: report.Refusals,
+		Repeated: system.Fleet().Repeated(), Lost: system.Fleet().Lost(), Latency: report.Latency, Refusals: report.Refusals,
 		Verdicts: report.Verdicts, Routes: report.Routes, Moments: report.Moments,
 	}
 	if err := system.Stop(); err != nil {
@@ -66,8 +66,11 @@
 		defer close(triggers)
 		s.pull(ctx, system, setup.Deployment, start, times)
 	}()
-	retrier := func(time.Duration) load.Retrier { return s.Retrier }
-	load.NewRunner(plan, client, load.WithRetrier(retrier)).Run(ctx, recorder)
+	opts := []load.RunnerOption{load.WithRetrier(func(time.Duration) load.Retrier { return s.Retrier })}
+	if s.crashing != nil {
+		opts = append(opts, load.WithCrashing(s.crashes(setup.Deployment, plan, times)))
+	}
+	load.NewRunner(plan, client, opts...).Run(ctx, recorder)
 	<-triggers
 	setup.Recording.ended()
 	return recorder.Report()
--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -38,6 +38,8 @@
 	end     func(d deployment.Deployment, s System)
 	impair  func(d deployment.Deployment) []deployment.Impairment
 	victim  func(d deployment.Deployment) string // the target that is killed
+	// crashing is the route of a request that crashes each backend server that runs it.
+	crashing func(d deployment.Deployment) load.Route
 }
 
 // Times are the lengths of the parts of a run.
@@ -69,6 +71,11 @@
 			Name: "retry-storm", Limit: plentifulLimit, Retrier: load.Retrier{Attempts: stormAttempts, Pause: stormPause, Hard: true},
 			Trigger: true, phases: surge(surgeFactor),
 		},
+		{
+			Name: "crashing-request", Limit: plentifulLimit, Retrier: load.Retrier{Attempts: stormAttempts, Pause: hardPause, Hard: true},
+			Trigger: true, crashing: repeatableRoute, impair: oneCrashed,
+		},
+		{Name: "lying-reports", Limit: plentifulLimit, Retrier: hard, Trigger: true, begin: lie, end: tellTruth},
 	}
 }
 
--- a/internal/measure/trigger.go
+++ b/internal/measure/trigger.go
@@ -1,6 +1,8 @@
 package measure
 
 import (
+	"slices"
+
 	"sapphirespread.example/internal/deployment"
 	"sapphirespread.example/internal/load"
 )
@@ -55,6 +57,36 @@
 	return []deployment.Impairment{{Service: service.Name, Slots: left, Slowdown: 1}}
 }
 
+// repeatableRoute returns the first route whose requests may run again elsewhere.
+func repeatableRoute(d deployment.Deployment) load.Route {
+	routes := Routes(d)
+	return routes[max(slices.IndexFunc(routes, func(r load.Route) bool { return r.Repeatable }), 0)]
+}
+
+// oneCrashed is what no system can avoid: the first backend server that runs the crashing request is lost.
+func oneCrashed(d deployment.Deployment) []deployment.Impairment {
+	service, _ := d.Service(repeatableRoute(d).Service)
+	left := service.SlotsLeft(func(target int) bool { return target != 0 })
+	return []deployment.Impairment{{Service: service.Name, Slots: left, Slowdown: 1}}
+}
+
+// crashes returns which arrival crashes backend servers: the first of its route within the trigger.
+func (s Scenario) crashes(d deployment.Deployment, plan load.Plan, times Times) (service string, crashing func(index int) bool) {
+	route := s.crashing(d)
+	first := slices.IndexFunc(plan.Arrivals(), func(a load.Arrival) bool {
+		return a.At >= times.Before && plan.Routes[a.Route].Name == route.Name
+	})
+	return route.Service, func(index int) bool { return index == first }
+}
+
+func lie(_ deployment.Deployment, s System) {
+	s.Fleet().Lie()
+}
+
+func tellTruth(_ deployment.Deployment, s System) {
+	s.Fleet().TellTruth()
+}
+
 func loseDomain(d deployment.Deployment, s System) {
 	s.Lose(d.FailureDomains[0])
 }
