Shed upstream by workspace, and carry levels of deeper services to the entry

Cause: a level was blind to workspaces and shed no more than the least demanding one had in excess.

Ruled out: the slots and limit of the slow service (full throughout); the wait for tokens.

A call carries the share that was shed of requests like it, so that a target's demand needs no guess of which levels are in force. A daemon learns which deeper calls the runs of a route need, and reports with its answers what these services shed; the sender then refuses before any service runs.

Conclusion: important requests are refused earlier and cheaper. TestDeepOverloadIsRefusedAtTheEntry fails on the state before: no booking is refused at the entry.

--- a/internal/daemon/admitter.go
+++ b/internal/daemon/admitter.go
@@ -71,6 +71,7 @@
 		Workspace: c.workspace,
 		Share:     c.share,
 		Deadline:  c.deadline,
+		Shed:      c.shed,
 	}))
 	return a.waitBound(now, c)
 }
--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -4,11 +4,14 @@
 	"context"
 	"net/http"
 	"net/url"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"sapphirespread.example/priority"
 	"sapphirespread.example/quarantine"
 	"sapphirespread.example/retry"
 )
@@ -20,6 +23,7 @@
 	wholeID        string
 	workspace      string
 	share          float64
+	shed           float64 // share of requests like it that were shed so far
 	route          string
 	service        string
 	priority       int
@@ -34,6 +38,9 @@
 	body           *requestBody
 	ended          atomic.Bool
 	running        context.Context
+	parent         *call
+	mu             sync.Mutex
+	made           []priority.Callee
 }
 
 // A requestHead is what a request says before its body.
@@ -52,6 +59,32 @@
 	return xxhash.Sum64String(c.wholeID)
 }
 
+// origin returns what the call has in common with the others of its whole request.
+func (c *call) origin() priority.Origin {
+	return priority.Origin{Priority: c.priority, Workspace: c.workspace, WholeHash: c.wholeHash()}
+}
+
+// callee returns what the call asks for.
+func (c *call) callee() priority.Callee {
+	return priority.Callee{Service: c.service, Route: c.route}
+}
+
+// called notes that a deeper call of this one was answered well.
+func (c *call) called(callee priority.Callee) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !slices.Contains(c.made, callee) {
+		c.made = append(c.made, callee)
+	}
+}
+
+// callees returns the deeper calls that were answered well.
+func (c *call) callees() []priority.Callee {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.made
+}
+
 // bodyless reports whether the request is sent without any frame for its body.
 func (c *call) bodyless() bool {
 	return c.head.contentLength == 0 && len(c.head.trailerNames) == 0
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -46,6 +46,7 @@
 	holder      *limit.Holder
 	tokenWait   *tokenWait
 	admitter    *admitter
+	deeper      *deeper
 	budgets     *budgets
 	resends     *retry.Resends
 	watch       *quarantine.Watch
@@ -90,6 +91,7 @@
 	d.backend = newBackend(d.incarnation)
 	d.chooser = target.NewChooser(d.table, target.WithFailureDomain(s.FailureDomain), target.WithDaemon(s.Name))
 	d.admitter = newAdmitter(priority.NewAdmission())
+	d.deeper = newDeeper(d.chooser)
 	d.link = newLink(d)
 	d.tokenWait = newTokenWait(d.holder, d.link.kick)
 	d.liveness = newLiveness(d.alive, d.chooser.Heard)
--- /dev/null
+++ b/internal/daemon/deeper_test.go
@@ -0,0 +1,52 @@
+package daemon_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// TestDeepOverloadIsRefusedAtTheEntry overloads the charges below bookings, and demands that the entry refuses
+// some bookings then, and that none of these has run.
+func TestDeepOverloadIsRefusedAtTheEntry(t *testing.T) {
+	f := newFleet(t)
+	f.publish(baseSet())
+	charges := f.backend("charges-1", "charges", func(http.ResponseWriter, *http.Request) { time.Sleep(20 * time.Millisecond) })
+	charges.slots.Store(2)
+	var ran sync.Map
+	var bookings *backendServer
+	bookings = f.backend("bookings-1", "bookings", func(w http.ResponseWriter, r *http.Request) {
+		ran.Store(r.Header.Get("Idempotency-Key"), true)
+		charge, _ := http.NewRequestWithContext(r.Context(), http.MethodPost, "http://"+bookings.daemon.SubcallsAddress().String()+"/charges", nil)
+		charge.Header.Set("Sapphirespread-Call-Token", r.Header.Get("Sapphirespread-Call-Token"))
+		w.WriteHeader(send(charge).status)
+	})
+	entry, _, _ := f.daemon("entry")
+	f.eventually("a booking", func() bool {
+		return ask(entry, http.MethodPost, "/bookings", "club", "court 3", "Idempotency-Key", "first").status == http.StatusOK
+	})
+	var refused atomic.Int64
+	var callers sync.WaitGroup
+	for caller := range 12 { // fewer than the limit that bookings-1 starts from
+		callers.Go(func() {
+			for i := 0; refused.Load() < 20 && !t.Failed() && i < 2_000; i++ {
+				id := fmt.Sprint(caller, "-", i)
+				got := ask(entry, http.MethodPost, "/bookings", "club", "court 3", "Idempotency-Key", id)
+				if got.refusal() != "overloaded" {
+					continue
+				}
+				refused.Add(1)
+				if _, run := ran.Load(id); run || got.header.Get("Sapphirespread-Run-State") != "not-run" {
+					t.Errorf("booking %s was refused and ran: %v, state %s", id, run, got.header.Get("Sapphirespread-Run-State"))
+				}
+			}
+		})
+	}
+	callers.Wait()
+	if refused.Load() < 20 {
+		t.Errorf("%d bookings refused at the entry, want 20\n%s", refused.Load(), f.logs.String())
+	}
+}
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -50,9 +50,14 @@
 
 func (d *Daemon) choose(c *call, tried []string) (target.Choice, *attemptError) {
 	now := time.Now()
-	chosen, found, shed := d.chooser.Choose(now, rand.Uint64(), c.service, c.wholeHash(), c.priority, tried)
+	below := d.deeper.shareShed(now, c)
+	if c.origin().ShedBy(below) {
+		return target.Choice{}, refuse(refusal.Overloaded, "a deeper service sheds it")
+	}
+	c.shed = max(c.shed, below)
+	chosen, found, shed := d.chooser.Choose(now, rand.Uint64(), c.service, c.origin(), tried)
 	if !found && len(tried) > 0 && !shed {
-		chosen, found, shed = d.chooser.Choose(now, rand.Uint64(), c.service, c.wholeHash(), c.priority, nil)
+		chosen, found, shed = d.chooser.Choose(now, rand.Uint64(), c.service, c.origin(), nil)
 	}
 	if shed {
 		return chosen, refuse(refusal.Overloaded, "shed before it was sent")
@@ -68,6 +73,7 @@
 	part := c.allowance.Move((c.allowance.Left() + 1) / 2)
 	a := &attempt{daemon: d, parent: c, part: part, target: chosen.Target, sentAt: time.Now()}
 	child := c.child(d.nextCallID(), part.Size())
+	child.shed = max(c.shed, chosen.Shed)
 	d.chooser.Sent(a.sentAt, chosen.Target.Name)
 	d.liveness.sent(a.sentAt, chosen.Target.Name, chosen.Target.Peer)
 	var got *answer
@@ -173,6 +179,7 @@
 	}
 	now := time.Now()
 	a.daemon.liveness.ended(now, a.target.Name)
+	a.daemon.deeper.heard(a.parent.callee(), a.report.deeper)
 	kind := observationKind(a.failed)
 	if kind == target.OK {
 		a.daemon.budget(a.parent.service).Success(now)
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -182,6 +182,9 @@
 		d.refuseCaller(w, refused)
 		return
 	}
+	if c.parent != nil && answer.status < http.StatusInternalServerError {
+		c.parent.called(c.callee())
+	}
 	d.sendAnswer(w, answer)
 }
 
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,6 +48,7 @@
 	handler http.HandlerFunc
 	server  *http.Server
 	leave   context.CancelFunc
+	slots   atomic.Int64
 }
 
 func listen(t testing.TB) net.Listener {
@@ -173,6 +175,7 @@
 func (f *fleet) backend(name, service string, handler http.HandlerFunc) *backendServer {
 	f.t.Helper()
 	b := &backendServer{name: name, handler: handler}
+	b.slots.Store(64)
 	b.daemon, b.stop, b.ended = f.daemon(name)
 	f.served = b.daemon
 	listener := listen(f.t)
@@ -189,7 +192,7 @@
 
 func (b *backendServer) announce(f *fleet, service string, address netip.AddrPort, state string) {
 	body, _ := json.Marshal(map[string]any{
-		"name": b.name, "service": service, "address": address, "slots": 64, "state": state,
+		"name": b.name, "service": service, "address": address, "slots": b.slots.Load(), "state": state,
 	})
 	request, _ := http.NewRequest(http.MethodPut, "http://"+b.daemon.SubcallsAddress().String()+"/announce/v1/target", strings.NewReader(string(body)))
 	response, err := http.DefaultClient.Do(request)
--- a/internal/daemon/local.go
+++ b/internal/daemon/local.go
@@ -260,6 +260,9 @@
 }
 
 func (r *localRun) answer(response *http.Response) *answer {
+	if response.StatusCode < http.StatusInternalServerError {
+		r.daemon.deeper.answered(r.call)
+	}
 	header := cloneForward(response.Header)
 	body := &localBody{run: r, response: response, header: header}
 	return &answer{
@@ -301,9 +304,11 @@
 
 // reportOf describes this target at the end of c and takes what is left of its allowance.
 func (d *Daemon) reportOf(c *call, crashed string) callReport {
+	now := time.Now()
 	return callReport{
 		unused:   c.allowance.Take(c.allowance.Left()),
-		level:    d.admitter.level(time.Now()),
+		level:    d.admitter.level(now),
+		deeper:   d.deeper.level(now, c.route),
 		draining: d.draining(),
 		crashed:  crashed,
 	}
--- a/internal/daemon/remote.go
+++ b/internal/daemon/remote.go
@@ -81,6 +81,7 @@
 		Route:             c.route,
 		Workspace:         c.workspace,
 		Share:             c.share,
+		Shed:              c.shed,
 		Priority:          int32(c.priority),
 		RemainingUs:       c.remaining(time.Now()).Microseconds(),
 		Allowance:         int32(c.allowance.Left()),
--- a/internal/daemon/report.go
+++ b/internal/daemon/report.go
@@ -10,7 +10,8 @@
 // A callReport is what a target's daemon tells the sender about itself with each end of a call.
 type callReport struct {
 	unused   int
-	level    priority.Level
+	level    priority.Level // of the target
+	deeper   priority.Level // of the services that a run of the call's route needs
 	draining bool
 	crashed  string
 }
@@ -20,25 +21,17 @@
 		UnusedAllowance: int32(report.unused),
 		Draining:        report.draining,
 		CrashedTarget:   report.crashed,
-		Level: &peerpb.Level{
-			Priority: int32(report.level.Priority),
-			Share:    report.level.Share,
-			ValidUs:  report.level.ValidUntil.Sub(now).Microseconds(),
-		},
+		Level:           encodeLevel(report.level, now),
+		Deeper:          encodeLevel(report.deeper, now),
 	}
 }
 
 func decodeReport(encoded *peerpb.CallReport, now time.Time) callReport {
-	level := encoded.GetLevel()
-	validity := time.Duration(level.GetValidUs()) * time.Microsecond
 	return callReport{
 		unused:   int(encoded.GetUnusedAllowance()),
 		draining: encoded.GetDraining(),
 		crashed:  encoded.GetCrashedTarget(),
-		level: priority.Level{
-			Priority:   int(level.GetPriority()),
-			Share:      level.GetShare(),
-			ValidUntil: now.Add(validity),
-		},
+		level:    decodeLevel(encoded.GetLevel(), now),
+		deeper:   decodeLevel(encoded.GetDeeper(), now),
 	}
 }
--- /dev/null
+++ b/internal/daemon/reportlevel.go
@@ -0,0 +1,49 @@
+package daemon
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"sapphirespread.example/internal/peer/peerpb"
+	"sapphirespread.example/priority"
+)
+
+const shareUnits = 10_000 // of a workspace's share as it is sent
+
+// encodeLevel returns nil for a level that sheds nothing any more.
+func encodeLevel(level priority.Level, now time.Time) *peerpb.Level {
+	if !now.Before(level.ValidUntil) {
+		return nil
+	}
+	encoded := &peerpb.Level{
+		Priority: int32(level.Priority),
+		Share:    level.Share,
+		ValidUs:  level.ValidUntil.Sub(now).Microseconds(),
+	}
+	for _, s := range level.Workspaces {
+		encoded.Workspaces = append(encoded.Workspaces, uint32(s.Workspace))
+		encoded.WorkspaceShares = append(encoded.WorkspaceShares, uint32(math.Round(s.Share*shareUnits)))
+	}
+	return encoded
+}
+
+// decodeLevel returns the zero level where none was sent or its lists don't match.
+func decodeLevel(encoded *peerpb.Level, now time.Time) priority.Level {
+	shares := encoded.GetWorkspaceShares()
+	if encoded.GetValidUs() <= 0 || len(shares) != len(encoded.GetWorkspaces()) {
+		return priority.Level{}
+	}
+	level := priority.Level{
+		Priority:   int(encoded.GetPriority()),
+		Share:      encoded.GetShare(),
+		ValidUntil: now.Add(time.Duration(encoded.GetValidUs()) * time.Microsecond),
+	}
+	for i, workspace := range encoded.GetWorkspaces() {
+		share := priority.WorkspaceShare{Workspace: priority.WorkspaceHash(workspace), Share: float64(shares[i]) / shareUnits}
+		level.Workspaces = append(level.Workspaces, share)
+	}
+	slices.SortFunc(level.Workspaces, func(a, b priority.WorkspaceShare) int { return cmp.Compare(a.Workspace, b.Workspace) })
+	return level
+}
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -27,6 +27,7 @@
 		wholeID:        head.GetWholeId(),
 		workspace:      head.GetWorkspace(),
 		share:          head.GetShare(),
+		shed:           head.GetShed(),
 		route:          head.GetRoute(),
 		service:        head.GetService(),
 		priority:       int(head.GetPriority()),
--- a/internal/daemon/subcall.go
+++ b/internal/daemon/subcall.go
@@ -58,7 +58,9 @@
 	c.wholeID = parent.wholeID
 	c.workspace = parent.workspace
 	c.share = parent.share
+	c.shed = parent.shed
 	c.priority = parent.priority
+	c.parent = parent
 	c.depth = parent.depth + 1
 	if parent.deadline.Before(c.deadline) {
 		c.deadline = parent.deadline
--- a/priority/admission.go
+++ b/priority/admission.go
@@ -207,7 +207,7 @@
 // leaves no room for those below.
 func (a *Admission) lowestWaiting() (priority int, bounded bool) {
 	level, shedding := a.shedder.level()
-	return level.Priority, shedding && level.Share > 0
+	return level.Priority, shedding && level.partial()
 }
 
 func (a *Admission) newestFirst(now time.Time) bool {
--- a/priority/admission_test.go
+++ b/priority/admission_test.go
@@ -124,13 +124,14 @@
 		lax := priority.Level{Priority: 2, Share: min(low, high), ValidUntil: start.Add(time.Second)}
 		strict := lax
 		strict.Share = max(low, high)
-		if lax.Sheds(start, p, hash) && !strict.Sheds(start, p, hash) {
+		origin := func(p int) priority.Origin { return priority.Origin{Priority: p, Workspace: "a", WholeHash: hash} }
+		if lax.Sheds(start, origin(p)) && !strict.Sheds(start, origin(p)) {
 			t.Fatal("a stricter level lets through what a laxer one sheds")
 		}
-		if p < 2 && strict.Sheds(start, p, hash) || p > 2 && !lax.Sheds(start, p, hash) {
+		if p < 2 && strict.Sheds(start, origin(p)) || p > 2 && !lax.Sheds(start, origin(p)) {
 			t.Fatal("a level sheds by priority first")
 		}
-		if strict.Sheds(start.Add(time.Second), p, hash) {
+		if strict.Sheds(start.Add(time.Second), origin(p)) {
 			t.Fatal("a level outlives its validity")
 		}
 	})
--- a/priority/fake_test.go
+++ b/priority/fake_test.go
@@ -145,7 +145,8 @@
 func (b *backend) offer(i int, f flow) {
 	b.result.offered[i][b.now/bucketLength]++
 	hash := b.random.Uint64()
-	if b.heeded.Sheds(start.Add(b.now), f.priority, hash) {
+	shed := b.heeded.ShareAt(start.Add(b.now), priority.Origin{Priority: f.priority, Workspace: f.workspace})
+	if (priority.Origin{WholeHash: hash}).ShedBy(shed) {
 		return
 	}
 	b.sequence++
@@ -153,7 +154,7 @@
 	b.requests[id] = &request{flow: i, at: b.now, deadline: b.now + f.deadline}
 	b.take(b.admission.Offer(start.Add(b.now), priority.Request{
 		ID: id, WholeHash: hash, Priority: f.priority, Workspace: f.workspace, Share: f.share,
-		Deadline: start.Add(b.now + f.deadline),
+		Deadline: start.Add(b.now + f.deadline), Shed: shed,
 	}))
 }
 
--- a/priority/request.go
+++ b/priority/request.go
@@ -3,7 +3,8 @@
 import "time"
 
 // A Request asks to run at the target. Priority 0 is the most important; Share weighs its workspace among
-// those of one priority; a zero Deadline means none. Requests of one Route take about the same time.
+// those of one priority; a zero Deadline means none. Requests of one Route take about the same time. Shed is
+// the share of requests like it that were shed before they were sent.
 type Request struct {
 	ID        uint64
 	WholeHash uint64
@@ -12,4 +13,5 @@
 	Route     string
 	Share     float64
 	Deadline  time.Time
+	Shed      float64
 }
--- a/priority/shedder.go
+++ b/priority/shedder.go
@@ -1,11 +1,15 @@
 package priority
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	shedWindow       = 25 * time.Millisecond
-	shedLag          = 4 // windows until upstream daemons heed a level
+	shedLag          = 16 // windows until upstream daemons heed a level
 	shedFloor        = 0.05
+	shedSlack        = 0.001
 	shedQueuePart    = 4 // the part of the limit that is to wait under overload
 	shedQueueMinimum = 2.0
 	shedDrain        = 150 * time.Millisecond // in which surplus waiting requests are to drain
@@ -19,8 +23,10 @@
 	priorities       = 32
 )
 
-// openLevel sheds nothing.
-var openLevel = Level{Priority: priorities}
+// openLevel returns a level that sheds nothing.
+func openLevel() Level {
+	return Level{Priority: priorities}
+}
 
 // load is what the target holds at the end of a window.
 type load struct {
@@ -33,7 +39,7 @@
 // follows the completions while requests stay waiting, and grows again as soon as they don't.
 type shedder struct {
 	start       time.Time
-	arrivals    [priorities]int
+	arrivals    [priorities]float64 // with what upstream daemons kept back
 	finished    int
 	overflow    int
 	latency     time.Duration // sum over the finished runs
@@ -47,16 +53,43 @@
 }
 
 func newShedder() *shedder {
-	s := &shedder{admitted: 1, published: openLevel}
+	s := &shedder{admitted: 1, published: openLevel()}
 	for i := range s.recent {
-		s.recent[i] = openLevel
+		s.recent[i] = openLevel()
 	}
 	return s
 }
 
 func (s *shedder) arrived(r Request) {
-	s.arrivals[bucket(r.Priority)]++
-	s.fairness.arrived(r)
+	p := bucket(r.Priority)
+	a := s.fairness.of(r)
+	weight := s.demandOf(p, a.hash, r.Shed)
+	s.arrivals[p] += weight
+	a.count += weight
+}
+
+// demandOf returns how many requests one that arrives stands for, with those like it that were kept back for
+// this target. Those that were kept back for another would not come if this one shed less.
+func (s *shedder) demandOf(p int, workspace WorkspaceHash, shed float64) float64 {
+	if shed <= 0 || shed > s.shedLately(p, workspace)+shedSlack {
+		return 1
+	}
+	return 1 / max(1-shed, shedFloor)
+}
+
+// shedLately returns the largest share of the workspace's requests of priority p that any recent level sheds.
+func (s *shedder) shedLately(p int, workspace WorkspaceHash) float64 {
+	shed := 0.0
+	for i := range s.recent {
+		l := &s.recent[i]
+		switch {
+		case p > l.Priority:
+			return 1
+		case p == l.Priority:
+			shed = max(shed, l.shareOfHash(workspace))
+		}
+	}
+	return shed
 }
 
 func (s *shedder) completed(latency time.Duration) {
@@ -82,41 +115,31 @@
 	s.control(elapsed, load)
 	s.publish()
 	s.start = now
-	s.arrivals = [priorities]int{}
+	s.arrivals = [priorities]float64{}
 	s.finished, s.overflow, s.latency = 0, 0, 0
 	return true
 }
 
 // level returns the published level, and whether it sheds anything.
 func (s *shedder) level() (Level, bool) {
-	return s.published, s.published != openLevel
+	return s.published, s.published.Priority != priorities
 }
 
-// estimateDemand adds to the arrivals what upstream daemons kept back.
+// estimateDemand follows the arrivals; the demand of priorities that are shed whole fades slowly.
 func (s *shedder) estimateDemand(elapsed time.Duration) {
 	for p := range s.arrivals {
-		passed := s.passed(p)
-		arrived := float64(s.arrivals[p]) * float64(shedWindow) / float64(elapsed)
-		if passed < shedFloor {
+		arrived := s.arrivals[p] * float64(shedWindow) / float64(elapsed)
+		if !s.seen(p) {
 			s.demand[p] = max(s.demand[p]*demandUnseenKeep, arrived)
 			continue
 		}
-		s.demand[p] = demandKeep*s.demand[p] + (1-demandKeep)*arrived/passed
+		s.demand[p] = demandKeep*s.demand[p] + (1-demandKeep)*arrived
 	}
 }
 
-// passed returns the largest share of priority p that any level lets through that upstream daemons may heed.
-func (s *shedder) passed(p int) float64 {
-	passed := 0.0
-	for _, l := range s.recent {
-		switch {
-		case p < l.Priority:
-			return 1
-		case p == l.Priority:
-			passed = max(passed, 1-l.Share)
-		}
-	}
-	return passed
+// seen reports whether any level that upstream daemons may heed lets requests of priority p through.
+func (s *shedder) seen(p int) bool {
+	return slices.ContainsFunc(s.recent[:], func(l Level) bool { return p <= l.Priority })
 }
 
 // control sets the admitted share to the capacity by Little's law, less what drains surplus waiting
@@ -174,15 +197,15 @@
 // levelFor returns the level that lets through admitted requests a window.
 func (s *shedder) levelFor(admitted float64) Level {
 	if s.admitted >= 1 {
-		return openLevel
+		return openLevel()
 	}
 	for p, d := range s.demand {
 		if d > admitted {
-			return Level{Priority: p, Share: s.fairness.excess(p, admitted/d)}
+			return s.fairness.level(p, admitted/d)
 		}
 		admitted -= d
 	}
-	return openLevel
+	return openLevel()
 }
 
 func bucket(priority int) int {
--- a/target/chooser.go
+++ b/target/chooser.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync/atomic"
 	"time"
+
+	"sapphirespread.example/priority"
 )
 
 // A Chooser picks a target for each call by what its daemon observed. It is safe for concurrent use.
@@ -27,16 +29,16 @@
 
 // Choose picks a target of service that is not in exclude. It reports ok false where none can take the
 // call, and then shed true where the only reason is that every target sheds it.
-func (c *Chooser) Choose(now time.Time, random uint64, service string, wholeHash uint64, priority int, exclude []string) (choice Choice, ok, shed bool) {
+func (c *Chooser) Choose(now time.Time, random uint64, service string, origin priority.Origin, exclude []string) (choice Choice, ok, shed bool) {
 	members, _ := c.table.services.get(service)
-	s := selection{chooser: c, now: now, at: c.offset(now), wholeHash: wholeHash, priority: priority, members: members}
+	s := selection{chooser: c, now: now, at: c.offset(now), origin: origin, members: members, least: 1}
 	s.sort(exclude)
 	m := s.pick(random)
 	if m == nil {
 		return Choice{}, false, s.shed > 0
 	}
 	target := m.target()
-	return Choice{Target: *target, Local: c.local(target)}, true, false
+	return Choice{Target: *target, Local: c.local(target), Shed: s.least}, true, false
 }
 
 // Sent notes that a call to the target goes out.
--- a/target/chooser_test.go
+++ b/target/chooser_test.go
@@ -30,7 +30,7 @@
 	random := rand.New(rand.NewPCG(1, 2))
 	counts := make(map[string]int)
 	for range n {
-		if choice, ok, _ := c.Choose(now, random.Uint64(), "wind", random.Uint64(), 0, nil); ok {
+		if choice, ok, _ := c.Choose(now, random.Uint64(), "wind", priority.Origin{WholeHash: random.Uint64(), Priority: 0}, nil); ok {
 			counts[choice.Target.Name]++
 		}
 	}
@@ -84,7 +84,7 @@
 		now, failing := start, 0
 		for range 1000 {
 			now = now.Add(100 * time.Millisecond)
-			choice, ok, _ := chooser.Choose(now, random.Uint64(), "wind", 0, 0, nil)
+			choice, ok, _ := chooser.Choose(now, random.Uint64(), "wind", priority.Origin{WholeHash: 0, Priority: 0}, nil)
 			if !ok {
 				t.Fatal("no target")
 			}
@@ -153,7 +153,7 @@
 	set("t1", 0.3)
 	shed := 0
 	for hash := range uint64(1000) {
-		_, ok, isShed := c.Choose(start, 7, "wind", hash*0x9e3779b97f4a7c15, 1, nil)
+		_, ok, isShed := c.Choose(start, 7, "wind", priority.Origin{WholeHash: hash * 0x9e3779b97f4a7c15, Priority: 1}, nil)
 		if ok == isShed {
 			t.Fatal("neither chosen nor shed")
 		}
@@ -164,10 +164,10 @@
 	if shed < 250 || shed > 350 {
 		t.Errorf("%d of 1000 shed, want about 300", shed)
 	}
-	if _, ok, _ := c.Choose(start, 7, "wind", 0, 0, nil); !ok {
+	if _, ok, _ := c.Choose(start, 7, "wind", priority.Origin{WholeHash: 0, Priority: 0}, nil); !ok {
 		t.Error("a more important request was shed")
 	}
-	if _, ok, shed := c.Choose(start, 7, "wind", 0, 2, nil); ok || !shed {
+	if _, ok, shed := c.Choose(start, 7, "wind", priority.Origin{WholeHash: 0, Priority: 2}, nil); ok || !shed {
 		t.Error("what all able targets shed went to an ejected one")
 	}
 }
@@ -175,7 +175,7 @@
 func TestExcludedAndUnreachable(t *testing.T) {
 	_, c := fleet(t, "east", "east", "east")
 	c.Answered(start, "t0", target.Observation{Kind: target.Unreachable})
-	choice, ok, _ := c.Choose(start, 1, "wind", 0, 0, []string{"t1"})
+	choice, ok, _ := c.Choose(start, 1, "wind", priority.Origin{WholeHash: 0, Priority: 0}, []string{"t1"})
 	if !ok || choice.Target.Name != "t2" {
 		t.Errorf("chose %+v, want t2", choice)
 	}
@@ -206,3 +206,39 @@
 		t.Errorf("choices %v, want nothing beyond its weight for a fresh target", late)
 	}
 }
+
+// TestServiceShedsWhatHalfOfItsTargetsShed checks that one hot target sheds nothing for its service, and that
+// targets whose level has run out don't count.
+func TestServiceShedsWhatHalfOfItsTargetsShed(t *testing.T) {
+	half := priority.Origin{Priority: 1}
+	for _, c := range []struct {
+		name string
+		shed []float64 // by the targets, in turn; below 0 ran out
+		want float64
+	}{
+		{"none", []float64{0, 0, 0, 0}, 0},
+		{"one hot", []float64{0.9, 0, 0, 0}, 0},
+		{"half", []float64{0.9, 0.4, 0, 0}, 0},
+		{"three of four", []float64{0.9, 0.4, 0.6, 0}, 0.4},
+		{"all", []float64{0.9, 0.4, 0.6, 0.5}, 0.5},
+		{"one known", []float64{0.3, -1, -1, -1}, 0.3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, chooser := fleet(t, "east", "east", "west", "west")
+			for i, share := range c.shed {
+				level := priority.Level{Priority: 1, Share: share, ValidUntil: start.Add(time.Second)}
+				if share < 0 {
+					level.ValidUntil = start
+				}
+				if share == 0 {
+					level = priority.Level{}
+				}
+				chooser.Answered(start, fmt.Sprint("t", i), target.Observation{Kind: target.OK, Latency: time.Millisecond, Level: level})
+			}
+			level := chooser.Level(start, "wind")
+			if got := level.ShareAt(start, half); got != c.want {
+				t.Errorf("%v shed, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/target/member.go
+++ b/target/member.go
@@ -53,7 +53,19 @@
 	m.announced.Store(&t)
 }
 
-func (m *member) sheds(now time.Time, level int, wholeHash uint64) bool {
+// knownLevel returns what the target sheds, where what it said last still counts or was that it sheds nothing.
+func (m *member) knownLevel(now time.Time) (level priority.Level, known bool) {
 	l := m.level.Load()
-	return l != nil && l.Sheds(now, level, wholeHash)
+	if l == nil {
+		return priority.Level{}, true
+	}
+	return *l, now.Before(l.ValidUntil)
+}
+
+func (m *member) shareShed(now time.Time, origin priority.Origin) float64 {
+	l := m.level.Load()
+	if l == nil {
+		return 0
+	}
+	return l.ShareAt(now, origin)
 }
--- a/target/observe.go
+++ b/target/observe.go
@@ -58,14 +58,12 @@
 }
 
 func (m *member) takeLevel(o Observation) {
-	held := m.level.Load()
-	if held == nil && o.Level.ValidUntil.IsZero() {
+	if o.Level.ValidUntil.IsZero() {
+		m.level.Store(nil)
 		return
 	}
-	if held == nil || *held != o.Level {
-		level := o.Level
-		m.level.Store(&level)
-	}
+	level := o.Level
+	m.level.Store(&level)
 }
 
 // observeLatency follows a rise at once and a fall by half-life.
--- a/target/selection.go
+++ b/target/selection.go
@@ -1,6 +1,10 @@
 package target
 
-import "time"
+import (
+	"time"
+
+	"sapphirespread.example/priority"
+)
 
 // A tier is how willingly a target is chosen; a target of an earlier tier may be of a later one too.
 type tier uint8
@@ -26,16 +30,16 @@
 
 // selection sorts the targets of one service into tiers for one choice.
 type selection struct {
-	chooser   *Chooser
-	now       time.Time
-	at        int64
-	wholeHash uint64
-	priority  int
-	members   []*member
-	inline    [inlineMembers]tier
-	more      []tier // of the members beyond the inline ones
-	counts    [tierCount]int
-	shed      int
+	chooser *Chooser
+	now     time.Time
+	at      int64
+	origin  priority.Origin
+	members []*member
+	inline  [inlineMembers]tier
+	more    []tier // of the members beyond the inline ones
+	counts  [tierCount]int
+	shed    int
+	least   float64 // share of requests like this one that even the laxest target sheds
 }
 
 func (s *selection) sort(exclude []string) {
@@ -56,7 +60,9 @@
 	if m.drained.Load() || excluded(target.Name, exclude) || s.chooser.silent(m, s.at) {
 		return tierNone
 	}
-	if m.sheds(s.now, s.priority, s.wholeHash) {
+	share := m.shareShed(s.now, s.origin)
+	s.least = min(s.least, share)
+	if s.origin.ShedBy(share) {
 		s.shed++
 		return tierNone
 	}
