Bound the queue wait of sub-calls by a quarter of their slack, too

Cause: two service times of a service that is slowed tenfold are longer than any deadline. Of the calls to the slow service 61 a second were refused after 427 ms in its queue, holding 34 of the 110 slots of booking meanwhile; booking was full, its requests waited 61 ms, and reached payment with less time left. Payment wasted 19.8 of 46.5 busy slots on runs that came too late.

Ruled out: too high a limit at payment (47 runs on 43 slots); the spread of service times alone (of runs with 800 ms left 82% came in time, of those with 400 to 700 ms a half).

Change: a sub-call waits for two service times, and a quarter of what it could wait, at most.

What is still wasted are runs that start with time left and take longer than most.

--- a/internal/daemon/admitter.go
+++ b/internal/daemon/admitter.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	subcallWaits   = 2
-	minSubcallWait = 10 * time.Millisecond
+	subcallWaits      = 2
+	subcallSlackParts = 4
+	minSubcallWait    = 10 * time.Millisecond
 )
 
 // An admitter lets calls through to the backend server as its admission decides.
@@ -76,14 +77,16 @@
 	return a.waitBound(now, c)
 }
 
-// waitBound bounds the wait of a sub-call by a few service times, as it holds slots of the targets above.
+// waitBound bounds the wait of a sub-call by a few service times and by a part of what it could wait, as it
+// holds slots of the targets above.
 func (a *admitter) waitBound(now time.Time, c *call) time.Duration {
 	remaining := c.remaining(now)
 	if c.depth == 0 {
 		return remaining
 	}
 	serviceTime := a.admission.ServiceTime(now, "")
-	return min(remaining, max(subcallWaits*serviceTime, minSubcallWait))
+	bound := min(subcallWaits*serviceTime, (remaining-serviceTime)/subcallSlackParts)
+	return min(remaining, max(bound, minSubcallWait))
 }
 
 // cancel withdraws a waiting call and reports whether it had been admitted meanwhile.
