--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -45,6 +45,7 @@
 	holder      holder
 	tokenWait   *tokenWait
 	admitter    *admitter
+	deeper      *deeper
 	budgets     *budgets
 	resends     *retry.Resends
 	watch       watch
@@ -84,6 +85,7 @@
 	d.backend = newBackend(d.incarnation)
 	d.budgets = newBudgets(d.recorder)
 	d.setDecisions()
+	d.deeper = newDeeper(d.chooser)
 	d.link = newLink(d)
 	d.tokenWait = newTokenWait(d.holder, d.link.kick)
 	d.liveness = newLiveness(d.alive, d.chooser.Heard)
--- a/internal/daemon/decisions.go
+++ b/internal/daemon/decisions.go
@@ -31,10 +31,11 @@
 
 // A chooser is a target.Chooser, or one that is recorded.
 type chooser interface {
-	Choose(now time.Time, random uint64, service string, wholeHash uint64, priority int, exclude []string) (choice target.Choice, ok, shed bool)
+	Choose(now time.Time, random uint64, service string, origin priority.Origin, exclude []string) (choice target.Choice, ok, shed bool)
 	Sent(now time.Time, name string)
 	Answered(now time.Time, name string, o target.Observation)
 	Heard(now time.Time, name string)
+	Level(now time.Time, service string) priority.Level
 }
 
 // A holder is a limit.Holder, or one that is recorded.
--- a/internal/trace/admission.go
+++ b/internal/trace/admission.go
@@ -1,6 +1,7 @@
 package trace
 
 import (
+	"slices"
 	"time"
 
 	"sapphirespread.example/priority"
@@ -28,7 +29,7 @@
 	verdicts := a.Admission.Offer(now, r)
 	a.stream.add(AdmissionStep{
 		At: now.Sub(a.start), Call: Offer, ID: r.ID, WholeHash: r.WholeHash, Priority: r.Priority, Workspace: r.Workspace,
-		Route: r.Route, Share: r.Share, Deadline: offset(a.start, r.Deadline), Verdicts: verdicts,
+		Route: r.Route, Share: r.Share, Shed: r.Shed, Deadline: offset(a.start, r.Deadline), Verdicts: verdicts,
 	})
 	return verdicts
 }
@@ -65,7 +66,7 @@
 // Level records the level where it has changed.
 func (a *Admission) Level(now time.Time) priority.Level {
 	level := a.Admission.Level(now)
-	if level.Priority != a.level.Priority || level.Share != a.level.Share {
+	if level.Priority != a.level.Priority || level.Share != a.level.Share || !slices.Equal(level.Workspaces, a.level.Workspaces) {
 		a.recordLevel(now, level)
 	}
 	return level
--- a/internal/trace/admissionstep.go
+++ b/internal/trace/admissionstep.go
@@ -30,6 +30,7 @@
 	Workspace string             `json:"workspace,omitempty"`
 	Route     string             `json:"route,omitempty"`
 	Share     float64            `json:"share,omitempty"`
+	Shed      float64            `json:"shed,omitempty"`     // before it was sent
 	Deadline  time.Duration      `json:"deadline,omitempty"` // from the start of the recording
 	Latency   time.Duration      `json:"latency,omitempty"`
 	Failed    bool               `json:"failed,omitempty"`
@@ -44,7 +45,7 @@
 // Outcome returns the verdicts, or the level.
 func (s AdmissionStep) Outcome() []string {
 	if s.Call == Level {
-		return []string{fmt.Sprintf("level %d %.4f", s.Level.Priority, s.Level.Share)}
+		return []string{describe(s.Level)}
 	}
 	var lines []string
 	for _, verdict := range s.Verdicts {
@@ -63,7 +64,7 @@
 	switch s.Call {
 	case Offer:
 		a.Offer(now, priority.Request{
-			ID: s.ID, WholeHash: s.WholeHash, Priority: s.Priority, Workspace: s.Workspace, Route: s.Route, Share: s.Share,
+			ID: s.ID, WholeHash: s.WholeHash, Priority: s.Priority, Workspace: s.Workspace, Route: s.Route, Share: s.Share, Shed: s.Shed,
 			Deadline: instant(a.start, s.Deadline),
 		})
 	case Done:
--- a/internal/trace/targets.go
+++ b/internal/trace/targets.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"sapphirespread.example/priority"
 	"sapphirespread.example/target"
 )
 
@@ -45,13 +46,13 @@
 }
 
 // Choose records a choice.
-func (t *Targets) Choose(now time.Time, random uint64, service string, wholeHash uint64, priority int, exclude []string) (choice target.Choice, ok, shed bool) {
+func (t *Targets) Choose(now time.Time, random uint64, service string, origin priority.Origin, exclude []string) (choice target.Choice, ok, shed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	choice, ok, shed = t.chooser.Choose(now, random, service, wholeHash, priority, exclude)
+	choice, ok, shed = t.chooser.Choose(now, random, service, origin, exclude)
 	t.stream.add(TargetStep{
-		At: now.Sub(t.start), Call: Choose, Random: random, Service: service, WholeHash: wholeHash, Priority: priority,
-		Exclude: slices.Clone(exclude), Choice: choice, Found: ok, Shed: shed,
+		At: now.Sub(t.start), Call: Choose, Random: random, Service: service, WholeHash: origin.WholeHash, Priority: origin.Priority,
+		Workspace: origin.Workspace, Exclude: slices.Clone(exclude), Choice: choice, Found: ok, Shed: shed,
 	})
 	return choice, ok, shed
 }
@@ -69,7 +70,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.chooser.Answered(now, name, o)
-	t.stream.add(TargetStep{At: now.Sub(t.start), Call: Answered, Name: name, Observation: observationOf(t.start, now, o)})
+	t.stream.add(TargetStep{At: now.Sub(t.start), Call: Answered, Name: name, Observation: observationOf(t.start, o)})
 }
 
 // Heard records a sign of life.
@@ -79,3 +80,8 @@
 	t.chooser.Heard(now, name)
 	t.stream.add(TargetStep{At: now.Sub(t.start), Call: Heard, Name: name})
 }
+
+// Level returns what half of the targets of service shed at least; it is not recorded.
+func (t *Targets) Level(now time.Time, service string) priority.Level {
+	return t.chooser.Level(now, service)
+}
--- a/internal/trace/targetstep.go
+++ b/internal/trace/targetstep.go
@@ -33,6 +33,7 @@
 	Service     string             `json:"service,omitempty"`
 	WholeHash   uint64             `json:"hash,omitempty"`
 	Priority    int                `json:"priority,omitempty"`
+	Workspace   string             `json:"workspace,omitempty"`
 	Exclude     []string           `json:"exclude,omitempty"`
 	Name        string             `json:"name,omitempty"`
 	Observation *TargetObservation `json:"observation,omitempty"`
@@ -43,12 +44,10 @@
 
 // A TargetObservation is a target.Observation with its times from the start of the recording.
 type TargetObservation struct {
-	Kind       target.AnswerKind `json:"kind"`
-	Latency    time.Duration     `json:"latency"`
-	Draining   bool              `json:"draining,omitempty"`
-	Priority   int               `json:"priority,omitempty"`
-	Share      float64           `json:"share,omitempty"`
-	ValidUntil time.Duration     `json:"valid-until,omitempty"`
+	Kind     target.AnswerKind `json:"kind"`
+	Latency  time.Duration     `json:"latency"`
+	Draining bool              `json:"draining,omitempty"`
+	Level    *ShedLevel        `json:"level,omitempty"`
 }
 
 // Time returns when the table or chooser was called.
@@ -77,7 +76,7 @@
 	case Apply:
 		_ = t.apply(now, s.Epoch, s.From, s.To, s.Whole, s.changes())
 	case Choose:
-		t.Choose(now, s.Random, s.Service, s.WholeHash, s.Priority, s.Exclude)
+		t.Choose(now, s.Random, s.Service, priority.Origin{Priority: s.Priority, Workspace: s.Workspace, WholeHash: s.WholeHash}, s.Exclude)
 	case Sent:
 		t.Sent(now, s.Name)
 	case Answered:
@@ -87,17 +86,10 @@
 	}
 }
 
-// observationOf leaves out a level that has ended already.
-func observationOf(start, now time.Time, o target.Observation) *TargetObservation {
-	observed := &TargetObservation{Kind: o.Kind, Latency: o.Latency, Draining: o.Draining}
-	if now.Before(o.Level.ValidUntil) {
-		observed.Priority, observed.Share = o.Level.Priority, o.Level.Share
-		observed.ValidUntil = offset(start, o.Level.ValidUntil)
-	}
-	return observed
+func observationOf(start time.Time, o target.Observation) *TargetObservation {
+	return &TargetObservation{Kind: o.Kind, Latency: o.Latency, Draining: o.Draining, Level: shedLevelOf(start, o.Level)}
 }
 
 func (o TargetObservation) at(start time.Time) target.Observation {
-	level := priority.Level{Priority: o.Priority, Share: o.Share, ValidUntil: instant(start, o.ValidUntil)}
-	return target.Observation{Kind: o.Kind, Latency: o.Latency, Draining: o.Draining, Level: level}
+	return target.Observation{Kind: o.Kind, Latency: o.Latency, Draining: o.Draining, Level: o.Level.at(start)}
 }
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -97,7 +97,8 @@
 		t.Fatal(err)
 	}
 	level := priority.Level{Priority: 2, Share: 1.0 / 3, ValidUntil: at(time.Second)}
-	targets.Choose(at(1), 1<<63+1, "wind", 1<<63+3, 2, []string{"t1"})
+	level.Workspaces = []priority.WorkspaceShare{{Workspace: priority.HashWorkspace("club"), Share: 0.1}}
+	targets.Choose(at(1), 1<<63+1, "wind", priority.Origin{WholeHash: 1<<63 + 3, Priority: 2, Workspace: "club"}, []string{"t1"})
 	targets.Sent(at(2), "t0")
 	targets.Answered(at(3), "t0", target.Observation{Kind: target.OK, Latency: 1, Level: level})
 	targets.Heard(at(4), "t0")
@@ -113,7 +114,7 @@
 }
 
 type chooser interface {
-	Choose(now time.Time, random uint64, service string, wholeHash uint64, priority int, exclude []string) (target.Choice, bool, bool)
+	Choose(now time.Time, random uint64, service string, origin priority.Origin, exclude []string) (target.Choice, bool, bool)
 }
 
 type admission interface {
@@ -164,10 +165,10 @@
 			for b.Loop() {
 				random += 0x9e3779b97f4a7c15
 				if behind {
-					through.Choose(start, random, "wind", random, 1, nil)
+					through.Choose(start, random, "wind", priority.Origin{WholeHash: random, Priority: 1}, nil)
 					continue
 				}
-				c.Choose(start, random, "wind", random, 1, nil)
+				c.Choose(start, random, "wind", priority.Origin{WholeHash: random, Priority: 1}, nil)
 			}
 		})
 		b.Run("holder/"+name, func(b *testing.B) {
