Measure the worst-served workspace by priority, too

Cause: the fair share of a workspace takes no account of priorities.

Ruled out: another definition of the old measure.

Change: beside it, the least ratio to what can be answered when the most important routes come first, each route divided by max-min fairness.

--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -66,6 +66,48 @@
 	})
 }
 
+// TestBestByPriorityServesTheMostImportantFirst checks that the rates can be had, that no other rates answer more
+// of the most important routes, and what Banevakt is left with at three times its usual load.
+func TestBestByPriorityServesTheMostImportantFirst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := rapid.SampledFrom([]deployment.Deployment{deployment.Banevakt(), deployment.Kite()}).Draw(t, "deployment")
+		offered := d.Capacity() * rapid.Float64Range(0.05, 4).Draw(t, "share")
+		best, err := d.BestGoodput(offered)
+		if err != nil {
+			t.Fatal(err)
+		}
+		rates, err := d.BestByPriority(offered)
+		if err != nil {
+			t.Fatal(err)
+		}
+		sum := 0.0
+		for _, r := range rates {
+			sum += r.Rate
+			if r.Rate < -1e-6 || r.Rate > offered*r.Route.Weight+1e-6 {
+				t.Fatalf("%s: %v of %v a second", r.Route.Name, r.Rate, offered*r.Route.Weight)
+			}
+		}
+		if sum > best+1e-6 {
+			t.Fatalf("%v a second by priority, more than the best %v", sum, best)
+		}
+	})
+	d := deployment.Banevakt()
+	rates, err := d.BestByPriority(1.5 * d.Capacity())
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := map[string]float64{
+		"reserve":     190 / 0.040, // the slots of member, held for 40 ms
+		"free-courts": 1.5 * d.Capacity() * 0.35,
+		"account":     0,
+	}
+	for _, r := range rates {
+		if math.Abs(r.Rate-want[r.Route.Name]) > 1e-6 {
+			t.Errorf("%s: %v a second, want %v", r.Route.Name, r.Rate, want[r.Route.Name])
+		}
+	}
+}
+
 func TestHeldIncludesDeeperServices(t *testing.T) {
 	d := deployment.Banevakt()
 	slow := deployment.Impairment{Service: "payment", Slots: 1, Slowdown: 10}
--- a/internal/measure/judge.go
+++ b/internal/measure/judge.go
@@ -33,6 +33,9 @@
 	result.Goodput = report.Goodput(from, to) * entitled(tallies, answerable)
 	result.GoodputRatio = result.Goodput / best
 	judgeWorst(result, tallies, answerable, best*length)
+	if err := judgeByPriority(result, s, d, answerable, length); err != nil {
+		return err
+	}
 	judgeRecovery(result, s, report)
 	judgeRefusals(result, report.Tallies(0, plan.Duration+load.Interval))
 	return nil
@@ -63,17 +66,51 @@
 	for i, count := range answerable {
 		demands[i] = float64(count)
 	}
-	shares := deployment.FairShares(total, demands)
-	result.WorstRatio = -1
+	result.WorstRatio, result.WorstWorkspace = worst(tallies, deployment.FairShares(total, demands))
+	result.Workspaces = tallies
+}
+
+// judgeByPriority compares what each workspace got with its fair share of what can be answered of each route
+// when the more important routes come first.
+func judgeByPriority(result *Result, s Scenario, d deployment.Deployment, answerable []int64, length float64) error {
+	offered := 0.0
+	for _, count := range answerable {
+		offered += float64(count) / length
+	}
+	rates, err := d.BestByPriority(offered, s.impaired(d)...)
+	if err != nil {
+		return err
+	}
+	weights := 0.0
+	for _, r := range rates {
+		weights += r.Route.Weight
+	}
+	attainable := make([]float64, len(answerable))
+	for _, r := range rates {
+		demands := make([]float64, len(answerable))
+		for i, count := range answerable {
+			demands[i] = float64(count) * r.Route.Weight / weights
+		}
+		for i, share := range deployment.FairShares(r.Rate*length, demands) {
+			attainable[i] += share
+		}
+	}
+	result.PriorityRatio, _ = worst(result.Workspaces, attainable)
+	return nil
+}
+
+// worst returns the least that any workspace got of its share, and which one; -1 where none has a share.
+func worst(tallies []load.Tally, shares []float64) (ratio float64, workspace string) {
+	ratio = -1
 	for i, tally := range tallies {
 		if shares[i] <= 0 {
 			continue
 		}
-		if ratio := float64(tally.Good) / shares[i]; result.WorstRatio < 0 || ratio < result.WorstRatio {
-			result.WorstRatio, result.WorstWorkspace = ratio, tally.Workspace
+		if got := float64(tally.Good) / shares[i]; ratio < 0 || got < ratio {
+			ratio, workspace = got, tally.Workspace
 		}
 	}
-	result.Workspaces = tallies
+	return ratio, workspace
 }
 
 // judgeRecovery finds the first window after the trigger in which requests are served as before it.
--- a/internal/measure/result.go
+++ b/internal/measure/result.go
@@ -24,6 +24,8 @@
 	// WorstRatio is what the worst-served workspace got of its fair share during the trigger.
 	WorstWorkspace string  `json:"worst-workspace"`
 	WorstRatio     float64 `json:"worst-ratio"`
+	// PriorityRatio is the least that a workspace got of its fair share where more important routes come first.
+	PriorityRatio float64 `json:"worst-ratio-by-priority"`
 	// WrongfulRefusals are refused attempts among Within, those within the rate and burst.
 	WrongfulRefusals int64 `json:"wrongful-refusals"`
 	// WrongfulOverRate are those of them that were refused for their rate.
--- a/internal/measure/text.go
+++ b/internal/measure/text.go
@@ -10,11 +10,11 @@
 // WriteText writes the results as a table.
 func WriteText(w io.Writer, results []Result) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(table, "deployment\tscenario\tsystem\tgoodput/s\tbest/s\tof best\trecovery\tworst workspace\tof fair share\twrongful refusals\trepeated\tp50\tp99")
+	_, _ = fmt.Fprintln(table, "deployment\tscenario\tsystem\tgoodput/s\tbest/s\tof best\trecovery\tworst workspace\tof fair share\tby priority\twrongful refusals\trepeated\tp50\tp99")
 	for _, r := range results {
-		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%.0f\t%.0f\t%.3f\t%s\t%s\t%.3f\t%.5f\t%d\t%v\t%v\n",
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%.0f\t%.0f\t%.3f\t%s\t%s\t%.3f\t%.3f\t%.5f\t%d\t%v\t%v\n",
 			r.Deployment, r.Scenario, r.System, r.Goodput, r.BestGoodput, r.GoodputRatio, r.recovery(), r.WorstWorkspace,
-			r.WorstRatio, r.WrongfulRatio, r.Repeated, r.Latency.P50.Round(time.Millisecond), r.Latency.P99.Round(time.Millisecond))
+			r.WorstRatio, r.PriorityRatio, r.WrongfulRatio, r.Repeated, r.Latency.P50.Round(time.Millisecond), r.Latency.P99.Round(time.Millisecond))
 	}
 	return table.Flush()
 }
