Don't let fast errors of a backend server attract calls

Cause: an answer with a status of 500 or more counted as a good one with a short latency. A target whose backend server answers at once with errors looked fast, and so did one of booking whose payments were refused early: in the slow service booking-4 (20 slots) ran 512 requests while booking-1 (26 slots) ran 355, and queued up to 25 with slots free beside it.

Ruled out: ejection of such targets. All targets of a service answer with errors when one below it is overloaded, and half of them would be ejected.

Change: errors are a kind of observation of their own. They never lower the latency, multiply the cost by their moving share, and earn no retry budget.

Before: of 1,000 calls a target with one error in five got 492, one with errors alone 492 (with the kind left out of observe). After: at most 200, 100 and 50 for 1, 2 and 5 errors in 5, the bounds that failures have had.

--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"time"
 
@@ -83,7 +84,7 @@
 	} else {
 		got, failed = d.runRemote(ctx, child, chosen.Target, a.done)
 	}
-	a.settle(failed)
+	a.settle(got, failed)
 	return got, failed
 }
 
@@ -150,7 +151,7 @@
 	report  callReport
 	ended   bool
 	settled bool
-	failed  *attemptError
+	kind    target.AnswerKind
 }
 
 // done takes the target's report at the end of the call.
@@ -164,10 +165,10 @@
 }
 
 // settle says how the sending ended: with an answer whose body is still to be read, or with failed.
-func (a *attempt) settle(failed *attemptError) {
+func (a *attempt) settle(got *answer, failed *attemptError) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.failed = failed
+	a.kind = observationKind(got, failed)
 	a.settled = true
 	a.observe()
 }
@@ -180,20 +181,21 @@
 	now := time.Now()
 	a.daemon.liveness.ended(now, a.target.Name)
 	a.daemon.deeper.heard(a.parent.callee(), a.report.deeper)
-	kind := observationKind(a.failed)
-	if kind == target.OK {
+	if a.kind == target.OK {
 		a.daemon.budget(a.parent.service).Success(now)
 	}
 	a.daemon.chooser.Answered(now, a.target.Name, target.Observation{
 		Latency:  now.Sub(a.sentAt),
-		Kind:     kind,
+		Kind:     a.kind,
 		Level:    a.report.level,
 		Draining: a.report.draining,
 	})
 }
 
-func observationKind(failed *attemptError) target.AnswerKind {
+func observationKind(got *answer, failed *attemptError) target.AnswerKind {
 	switch {
+	case failed == nil && got.status >= http.StatusInternalServerError:
+		return target.Errored
 	case failed == nil:
 		return target.OK
 	case failed.kind == refusal.TargetUnreachable || failed.kind == refusal.NoTarget:
--- a/target/chooser_test.go
+++ b/target/chooser_test.go
@@ -76,9 +76,19 @@
 }
 
 // TestFastErrorsDoNotAttract counts the calls of a target that answers some of them with fast errors, too
-// few in a row for an ejection, and of one that fails all.
+// few in a row for an ejection, and of one that fails all; and so for errors of its backend server.
 func TestFastErrorsDoNotAttract(t *testing.T) {
-	for _, c := range []struct{ failsOf5, most int }{{1, 200}, {2, 100}, {5, 50}} {
+	for _, c := range []struct {
+		kind           target.AnswerKind
+		failsOf5, most int
+	}{
+		{target.Failed, 1, 200},
+		{target.Failed, 2, 100},
+		{target.Failed, 5, 50},
+		{target.Errored, 1, 200},
+		{target.Errored, 2, 100},
+		{target.Errored, 5, 50},
+	} {
 		_, chooser := fleet(t, "east", "east")
 		random := rand.New(rand.NewPCG(3, 4))
 		now, failing := start, 0
@@ -92,18 +102,37 @@
 			o := target.Observation{Kind: target.OK, Latency: 60 * time.Millisecond}
 			if choice.Target.Name == "t0" {
 				if failing%5 < c.failsOf5 {
-					o = target.Observation{Kind: target.Failed, Latency: 100 * time.Microsecond}
+					o = target.Observation{Kind: c.kind, Latency: 100 * time.Microsecond}
 				}
 				failing++
 			}
 			chooser.Answered(now, choice.Target.Name, o)
 		}
 		if failing > c.most {
-			t.Errorf("a target that fails %d of 5 got %d of 1000 calls, want at most %d", c.failsOf5, failing, c.most)
+			t.Errorf("a target that answers %d of 5 as %s got %d of 1000 calls, want at most %d", c.failsOf5, c.kind, failing, c.most)
 		}
 	}
 }
 
+// TestErrorsOfAllEjectNone checks that a service whose targets all answer with errors, as they do when one
+// below it is overloaded, keeps all of them in use alike.
+func TestErrorsOfAllEjectNone(t *testing.T) {
+	_, c := fleet(t, "east", "east", "east", "east")
+	for i := range 400 {
+		name := fmt.Sprint("t", i%4)
+		c.Sent(start, name)
+		c.Answered(start, name, target.Observation{Kind: target.Errored, Latency: 20 * time.Millisecond})
+	}
+	for name, n := range chosen(c, start, 1000) {
+		if n < 150 {
+			t.Errorf("%s got %d of 1000 calls", name, n)
+		}
+	}
+	if got := len(chosen(c, start, 1000)); got != 4 {
+		t.Errorf("%d of 4 targets in use", got)
+	}
+}
+
 // TestFailureDomainLost loses the own failure domain of a service of 90 targets.
 func TestFailureDomainLost(t *testing.T) {
 	domains := make([]string, 90)
--- a/target/member.go
+++ b/target/member.go
@@ -26,6 +26,8 @@
 	refusedAt    atomic.Int64
 	failing      atomic.Int64 // moving share of failed answers, in millionths
 	failedAt     atomic.Int64
+	erring       atomic.Int64 // moving share of errors of the backend server, in millionths
+	erredAt      atomic.Int64
 	level        atomic.Pointer[priority.Level]
 
 	mu          sync.Mutex
--- a/target/observation.go
+++ b/target/observation.go
@@ -12,6 +12,7 @@
 // The kinds of answers.
 const (
 	OK          AnswerKind = "ok"
+	Errored     AnswerKind = "errored"     // answered whole, with an error of the backend server
 	Refused     AnswerKind = "refused"     // not run, by the target's admission
 	Failed      AnswerKind = "failed"      // ran or may have run, and failed
 	Unreachable AnswerKind = "unreachable" // no connection to the target's daemon
--- a/target/observe.go
+++ b/target/observe.go
@@ -44,9 +44,15 @@
 	case OK:
 		m.observeLatency(at, int64(o.Latency))
 		m.observeOutcome(at, false)
+		m.observeError(at, false)
+	case Errored:
+		if m.latency.Load() > 0 {
+			m.observeSlower(at, int64(o.Latency))
+		}
+		m.observeOutcome(at, false)
+		m.observeError(at, true)
 	case Failed:
-		// A fast error must not look like a fast answer.
-		m.observeLatency(at, max(int64(o.Latency), m.latency.Load()))
+		m.observeSlower(at, int64(o.Latency))
 		m.observeOutcome(at, true)
 	case Unreachable:
 		m.eject(at)
@@ -85,6 +91,11 @@
 	m.best.Store(best)
 }
 
+// observeSlower follows a rise alone: a fast error must not look like a fast answer.
+func (m *member) observeSlower(at, latency int64) {
+	m.observeLatency(at, max(latency, m.latency.Load()))
+}
+
 // expectedLatency falls from the moving average to the best recent latency while nothing is answered.
 func (m *member) expectedLatency(at int64) int64 {
 	best := m.best.Load()
@@ -133,6 +144,21 @@
 	return float64(m.failing.Load()) / millionths / (1 + age)
 }
 
+func (m *member) observeError(at int64, errored bool) {
+	share := float64(m.erring.Load()) * (1 - answerWeight)
+	if errored {
+		share += answerWeight * millionths
+		m.erredAt.Store(at)
+	}
+	m.erring.Store(int64(share))
+}
+
+// errorShare returns the share of answers that were errors, less the longer ago the last one was.
+func (m *member) errorShare(at int64) float64 {
+	age := float64(max(at-m.erredAt.Load(), 0)) / float64(failureMemory)
+	return float64(m.erring.Load()) / millionths / (1 + age)
+}
+
 // ejectOutlier ejects a target for its failures.
 func (m *member) ejectOutlier(at int64) {
 	m.mu.Lock()
--- a/target/selection.go
+++ b/target/selection.go
@@ -148,5 +148,5 @@
 		slots = unknownSlots
 	}
 	cost := float64(latency) * float64(m.inFlight.Load()+1) / (float64(slots) * s.chooser.weight(m, s.at))
-	return cost * (1 + refusalCost*m.refusalShare(s.at) + failureCost*m.failureShare(s.at))
+	return cost * (1 + refusalCost*m.refusalShare(s.at) + failureCost*(m.failureShare(s.at)+m.errorShare(s.at)))
 }
