Let the admission bound the wait of nested requests, by priority

Cause: the daemon bounded the wait of sub-calls beside the admission. One that left the queue for it was refused while a less important request waited on, and could run in its place: the property on priorities did not hold for it, as PROOFS.md said.

Ruled out: no bound at all (slots of the targets above are held for as long as the deadline allows).

Change: a request says that it is nested, and the admission refuses it after its bound, together with all waiting requests that are less important. The property test draws nested requests too. With the less important ones left in the queue it fails at its first run, as does TestNestedRequestsWaitLess.

Before and after: the bound is the same; no figure is claimed.

--- a/internal/daemon/admitter.go
+++ b/internal/daemon/admitter.go
@@ -9,12 +9,6 @@
 	"sapphirespread.example/refusal"
 )
 
-const (
-	subcallWaits      = 2
-	subcallSlackParts = 4
-	minSubcallWait    = 10 * time.Millisecond
-)
-
 // An admitter lets calls through to the backend server as its admission decides.
 type admitter struct {
 	mu        sync.Mutex
@@ -33,19 +27,15 @@
 // enter waits until c is admitted or refused; an admitted call is ended with leave.
 func (a *admitter) enter(ctx context.Context, c *call) *attemptError {
 	verdict := make(chan priority.Verdict, 1)
-	waiting, cancel := context.WithTimeout(ctx, a.offer(c, verdict))
-	defer cancel()
+	a.offer(c, verdict)
 	select {
 	case v := <-verdict:
 		return refusalOf(v)
-	case <-waiting.Done():
+	case <-ctx.Done():
 	}
 	if a.cancel(c.admissionID, verdict) {
 		a.leave(c.admissionID, priority.Result{Failed: true})
 	}
-	if ctx.Err() == nil {
-		return refuse(refusal.Overloaded, "a sub-call waited too long in the queue")
-	}
 	if time.Now().Before(c.deadline) {
 		return refuse(refusal.Cancelled, "the caller left before the request ran")
 	}
@@ -59,8 +49,8 @@
 	return refuse(verdict.Kind, "refused by the target's admission")
 }
 
-// offer puts c to the admission and returns how long it may wait.
-func (a *admitter) offer(c *call, verdict chan priority.Verdict) time.Duration {
+// offer puts c to the admission.
+func (a *admitter) offer(c *call, verdict chan priority.Verdict) {
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -73,20 +63,8 @@
 		Share:     c.share,
 		Deadline:  c.deadline,
 		Shed:      c.shed,
+		Nested:    c.depth > 0,
 	}))
-	return a.waitBound(now, c)
-}
-
-// waitBound bounds the wait of a sub-call by a few service times and by a part of what it could wait, as it
-// holds slots of the targets above.
-func (a *admitter) waitBound(now time.Time, c *call) time.Duration {
-	remaining := c.remaining(now)
-	if c.depth == 0 {
-		return remaining
-	}
-	serviceTime := a.admission.ServiceTime(now, "")
-	bound := min(subcallWaits*serviceTime, (remaining-serviceTime)/subcallSlackParts)
-	return min(remaining, max(bound, minSubcallWait))
 }
 
 // cancel withdraws a waiting call and reports whether it had been admitted meanwhile.
--- a/priority/admission.go
+++ b/priority/admission.go
@@ -12,6 +12,10 @@
 	queueMaximum   = 4096
 	newestFirstLag = 100 * time.Millisecond
 	tickInterval   = 10 * time.Millisecond
+
+	nestedWaits       = 2
+	nestedSlackParts  = 4
+	nestedWaitMinimum = 10 * time.Millisecond
 )
 
 // An Admission decides for one target which requests run, wait and are refused. The caller holds one
@@ -61,7 +65,7 @@
 	if lowest, bounded := a.lowestWaiting(); bounded && r.Priority > lowest && !a.free() {
 		return a.refuse(verdicts, r.ID, refusal.Overloaded)
 	}
-	a.queue.push(now, r)
+	a.queue.push(now, a.waitsUntil(now, &r), r)
 	verdicts = a.fill(now, verdicts)
 	return a.bound(now, verdicts)
 }
@@ -90,9 +94,9 @@
 	return a.fill(now, a.advance(now, nil))
 }
 
-// Tick refuses the waiting requests that can't meet their deadline any more.
+// Tick refuses the waiting requests that can't meet their deadline any more, or have waited for too long.
 func (a *Admission) Tick(now time.Time) []Verdict {
-	return a.fill(now, a.dropLate(now, a.advance(now, nil)))
+	return a.fill(now, a.dropImpatient(now, a.dropLate(now, a.advance(now, nil))))
 }
 
 // NextTick returns when Tick has something to do next, or the zero time where nothing waits.
@@ -187,6 +191,30 @@
 	return verdicts
 }
 
+// dropImpatient refuses nested requests that have waited for too long, so that they free what they hold.
+func (a *Admission) dropImpatient(now time.Time, verdicts []Verdict) []Verdict {
+	for _, w := range a.queue.impatient(now) {
+		a.queue.remove(w)
+		a.shedder.overflowed()
+		verdicts = a.refuse(verdicts, w.request.ID, refusal.Overloaded)
+	}
+	return verdicts
+}
+
+// waitsUntil returns until when r may wait, zero where only its deadline counts: a nested request waits for a few
+// service times, and for a part of what it could wait, at most.
+func (a *Admission) waitsUntil(now time.Time, r *Request) time.Time {
+	if !r.Nested {
+		return time.Time{}
+	}
+	service := a.service.expected(now, r.Route)
+	bound := nestedWaits * service
+	if !r.Deadline.IsZero() {
+		bound = min(bound, (r.Deadline.Sub(now)-service)/nestedSlackParts)
+	}
+	return now.Add(max(bound, nestedWaitMinimum))
+}
+
 // advance lets the shedder close its window; what a rising level sheds upstream doesn't wait here either.
 func (a *Admission) advance(now time.Time, verdicts []Verdict) []Verdict {
 	if !a.shedder.advance(now, load{a.queue.len(), a.limiter.current(), a.free()}) {
--- a/priority/admission_test.go
+++ b/priority/admission_test.go
@@ -75,6 +75,7 @@
 			Route:     rapid.SampledFrom([]string{"x", "y"}).Draw(m.t, "route"),
 			Workspace: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(m.t, "workspace"), Share: 1,
 			Deadline: m.now.Add(time.Duration(rapid.IntRange(0, 200).Draw(m.t, "deadline")) * time.Millisecond),
+			Nested:   rapid.Bool().Draw(m.t, "nested"),
 		}
 		m.waiting[id] = r
 		m.take(m.admission.Offer(m.now, r))
@@ -185,3 +186,32 @@
 		t.Errorf("a request that takes five times its deadline got %+v", v)
 	}
 }
+
+// TestNestedRequestsWaitLess checks that a nested request leaves the queue after two service times, that what is
+// less important leaves with it, and that others wait on.
+func TestNestedRequestsWaitLess(t *testing.T) {
+	a := priority.NewAdmission(priority.WithSlots(1))
+	offered := func(now time.Time, id uint64, p int, nested bool) {
+		a.Offer(now, priority.Request{ID: id, Priority: p, Share: 1, Deadline: now.Add(time.Minute), Nested: nested})
+	}
+	for id := range uint64(2) {
+		offered(start, 100+id, 0, false)
+		a.Done(start, 100+id, priority.Result{Latency: 50 * time.Millisecond})
+	}
+	for id := range uint64(2) {
+		offered(start, id, 1, false)
+	}
+	offered(start, 10, 1, true)
+	offered(start, 11, 1, false)
+	offered(start, 12, 2, false)
+	if v := a.Tick(start.Add(100 * time.Millisecond)); len(v) != 0 {
+		t.Fatalf("after two service times: %+v", v)
+	}
+	left := make(map[uint64]refusal.Kind)
+	for _, v := range a.Tick(start.Add(101 * time.Millisecond)) {
+		left[v.ID] = v.Kind
+	}
+	if len(left) != 2 || left[10] != refusal.Overloaded || left[12] != refusal.Overloaded {
+		t.Errorf("left the queue: %v, want 10 and 12", left)
+	}
+}
--- a/priority/queue.go
+++ b/priority/queue.go
@@ -20,11 +20,11 @@
 	return len(q.byID)
 }
 
-func (q *queue) push(now time.Time, r Request) {
+func (q *queue) push(now, until time.Time, r Request) {
 	if len(q.byID) == 0 {
 		q.nonEmpty = now
 	}
-	w := &waiter{request: r, since: now}
+	w := &waiter{request: r, since: now, until: until}
 	q.class(r.Priority).push(w)
 	q.byID[r.ID] = w
 }
@@ -71,6 +71,18 @@
 	return late
 }
 
+// impatient returns the waiters that have waited for as long as they may at the most important priority that has
+// any, and all that are less important: none of them is to wait on in their place.
+func (q *queue) impatient(now time.Time) []*waiter {
+	var impatient []*waiter
+	q.each(func(w *waiter) {
+		if len(impatient) > 0 && w.request.Priority > impatient[0].request.Priority || w.impatient(now) {
+			impatient = append(impatient, w)
+		}
+	})
+	return impatient
+}
+
 // below returns the waiters that are less important than priority.
 func (q *queue) below(priority int) []*waiter {
 	var below []*waiter
