Give moving shares and reading commands one home each

Cause: the moving share of refused, failed and erroneous answers stood three times in target, and the commands that read something of the cluster and print it repeated one action four times. Three options of internal packages were set by nobody.

Change: a type for the moving share, one generic action for history, members list, status and targets, and the options and the timeout of the baseline's calls are gone.

--- a/internal/baseline/caller.go
+++ b/internal/baseline/caller.go
@@ -23,7 +23,6 @@
 type Caller struct {
 	directory *Directory
 	retries   int
-	timeout   time.Duration
 	client    *http.Client
 	mu        sync.Mutex
 	random    *rand.Rand
@@ -37,11 +36,6 @@
 	return func(c *Caller) { c.retries = retries }
 }
 
-// WithTimeout sets the time after which one attempt counts as failed; none by default.
-func WithTimeout(timeout time.Duration) CallerOption {
-	return func(c *Caller) { c.timeout = timeout }
-}
-
 // NewCaller returns a Caller that chooses among the targets of directory.
 func NewCaller(directory *Directory, seed uint64, opts ...CallerOption) *Caller {
 	transport := &http.Transport{MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: idleTimeout, DisableCompression: true}
@@ -85,19 +79,13 @@
 	if err != nil {
 		return nil, err
 	}
-	cancel := context.CancelFunc(func() {})
-	if c.timeout > 0 {
-		ctx, cancel = context.WithTimeout(ctx, c.timeout)
-	}
 	attempt := request.Clone(ctx)
 	attempt.URL.Scheme = "http"
 	attempt.URL.Host = target.String()
 	response, err := c.client.Do(attempt)
 	if err != nil {
-		cancel()
 		return nil, errorx.Decorate(err, "call %s at %s", service, target)
 	}
-	response.Body = &cancellingBody{ReadCloser: response.Body, cancel: cancel}
 	return response, nil
 }
 
@@ -110,15 +98,3 @@
 	defer c.mu.Unlock()
 	return targets[c.random.IntN(len(targets))], nil
 }
-
-// cancellingBody ends the context of an attempt once its answer is read.
-type cancellingBody struct {
-	io.ReadCloser
-	cancel context.CancelFunc
-}
-
-// Close closes the body and ends the context.
-func (b *cancellingBody) Close() error {
-	defer b.cancel()
-	return b.ReadCloser.Close()
-}
--- a/internal/cmd/historycmd.go
+++ b/internal/cmd/historycmd.go
@@ -1,14 +1,13 @@
 package cmd
 
 import (
-	"context"
-	"fmt"
 	"io"
 	"time"
 
 	"github.com/urfave/cli/v3"
 
 	"sapphirespread.example/configuration"
+	"sapphirespread.example/internal/operator"
 )
 
 func newHistoryCommand(a *app) *cli.Command {
@@ -17,21 +16,8 @@
 		Usage: "list who published which revision",
 		Description: "Lists the kept revisions, the oldest first.\n\n" +
 			"Example:\n   sapphirespread history --control 127.0.0.1:7102",
-		Flags: []cli.Flag{controlFlag(), outputFlag()},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			if _, err := arguments(c, 0, 0); err != nil {
-				return err
-			}
-			api, err := a.api(c)
-			if err != nil {
-				return err
-			}
-			entries, err := api.History(ctx)
-			if err != nil {
-				return fmt.Errorf("reading the history: %w", err)
-			}
-			return a.print(c, entries, func(w io.Writer) error { return printHistory(w, entries) })
-		},
+		Flags:  []cli.Flag{controlFlag(), outputFlag()},
+		Action: readAction(a, "history", operator.API.History, printHistory),
 	}
 }
 
--- a/internal/cmd/memberscmd.go
+++ b/internal/cmd/memberscmd.go
@@ -22,7 +22,7 @@
 				Description: "Lists each member with its role and the last log entry that the leader knows it to hold.\n\n" +
 					"Example:\n   sapphirespread members list --control 127.0.0.1:7102",
 				Flags:  []cli.Flag{controlFlag(), outputFlag()},
-				Action: a.listMembers,
+				Action: readAction(a, "members", operator.API.Members, printMembers),
 			},
 			{
 				Name:      "add",
@@ -59,25 +59,12 @@
 	}
 }
 
-func (a *app) listMembers(ctx context.Context, c *cli.Command) error {
-	if _, err := arguments(c, 0, 0); err != nil {
-		return err
-	}
-	api, err := a.api(c)
-	if err != nil {
-		return err
-	}
-	members, err := api.Members(ctx)
-	if err != nil {
-		return fmt.Errorf("reading the members: %w", err)
+func printMembers(w io.Writer, members []operator.Member) error {
+	var rows [][]any
+	for _, m := range members {
+		rows = append(rows, []any{m.Name, m.Role, m.Address, m.Match})
 	}
-	return a.print(c, members, func(w io.Writer) error {
-		var rows [][]any
-		for _, m := range members {
-			rows = append(rows, []any{m.Name, m.Role, m.Address, m.Match})
-		}
-		return printTable(w, []string{"MEMBER", "ROLE", "ADDRESS", "MATCH"}, rows)
-	})
+	return printTable(w, []string{"MEMBER", "ROLE", "ADDRESS", "MATCH"}, rows)
 }
 
 func (a *app) addMember(ctx context.Context, c *cli.Command) error {
--- /dev/null
+++ b/internal/cmd/read.go
@@ -0,0 +1,31 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"sapphirespread.example/internal/operator"
+)
+
+// readAction returns the action of a command without arguments that reads something of the cluster and prints it.
+func readAction[T any](
+	a *app, what string, read func(operator.API, context.Context) (T, error), write func(io.Writer, T) error,
+) cli.ActionFunc {
+	return func(ctx context.Context, c *cli.Command) error {
+		if _, err := arguments(c, 0, 0); err != nil {
+			return err
+		}
+		api, err := a.api(c)
+		if err != nil {
+			return err
+		}
+		got, err := read(api, ctx)
+		if err != nil {
+			return fmt.Errorf("reading the %s: %w", what, err)
+		}
+		return a.print(c, got, func(w io.Writer) error { return write(w, got) })
+	}
+}
--- a/internal/cmd/statuscmd.go
+++ b/internal/cmd/statuscmd.go
@@ -18,20 +18,9 @@
 			"answer, the state of the first is shown. A daemon whose revision stays behind has not yet the set in force.\n\n" +
 			"Example:\n   sapphirespread status --control 127.0.0.1:7102",
 		Flags: []cli.Flag{controlFlag(), outputFlag()},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			if _, err := arguments(c, 0, 0); err != nil {
-				return err
-			}
-			api, err := a.api(c)
-			if err != nil {
-				return err
-			}
-			status, err := a.leaderStatus(ctx, api)
-			if err != nil {
-				return err
-			}
-			return a.print(c, status, func(w io.Writer) error { return printStatus(w, status) })
-		},
+		Action: readAction(a, "status", func(api operator.API, ctx context.Context) (operator.Status, error) {
+			return a.leaderStatus(ctx, api)
+		}, printStatus),
 	}
 }
 
--- a/internal/cmd/targetscmd.go
+++ b/internal/cmd/targetscmd.go
@@ -1,8 +1,6 @@
 package cmd
 
 import (
-	"context"
-	"fmt"
 	"io"
 
 	"github.com/urfave/cli/v3"
@@ -16,21 +14,8 @@
 		Usage: "list the announced targets",
 		Description: "Lists each target with its state and what it reported last.\n\n" +
 			"Example:\n   sapphirespread targets --control 127.0.0.1:7102",
-		Flags: []cli.Flag{controlFlag(), outputFlag()},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			if _, err := arguments(c, 0, 0); err != nil {
-				return err
-			}
-			api, err := a.api(c)
-			if err != nil {
-				return err
-			}
-			targets, err := api.Targets(ctx)
-			if err != nil {
-				return fmt.Errorf("reading the targets: %w", err)
-			}
-			return a.print(c, targets, func(w io.Writer) error { return printTargets(w, targets) })
-		},
+		Flags:  []cli.Flag{controlFlag(), outputFlag()},
+		Action: readAction(a, "targets", operator.API.Targets, printTargets),
 	}
 }
 
--- a/internal/cmd/wait.go
+++ b/internal/cmd/wait.go
@@ -26,7 +26,7 @@
 func (a *app) leaderStatus(ctx context.Context, api operator.API) (operator.Status, error) {
 	status, err := api.Status(ctx)
 	if err != nil {
-		return status, fmt.Errorf("reading the status: %w", err)
+		return status, err
 	}
 	if status.Process == status.Leader || !status.LeaderAddress.IsValid() {
 		return status, nil
--- a/internal/operator/clientoption.go
+++ b/internal/operator/clientoption.go
@@ -1,7 +1,6 @@
 package operator
 
 import (
-	"net/http"
 	"time"
 )
 
@@ -23,8 +22,3 @@
 func WithTimeout(d time.Duration) ClientOption {
 	return func(c *Client) { c.timeout = d }
 }
-
-// WithHTTPClient sets the HTTP client that carries the requests.
-func WithHTTPClient(h *http.Client) ClientOption {
-	return func(c *Client) { c.http = h }
-}
--- a/internal/standin/option.go
+++ b/internal/standin/option.go
@@ -41,11 +41,6 @@
 	return func(s *Server) { s.mean, s.distribution = mean, distribution }
 }
 
-// WithContention sets the share of the speed lost for each further multiple of the slots that is held.
-func WithContention(contention float64) ServerOption {
-	return func(s *Server) { s.contention = contention }
-}
-
 // WithSeed sets the seed of the service times.
 func WithSeed(seed uint64) ServerOption {
 	return func(s *Server) { s.seed = seed }
--- a/target/member.go
+++ b/target/member.go
@@ -22,12 +22,9 @@
 	latency      atomic.Int64 // peak-sensitive moving average, in nanoseconds
 	answeredAt   atomic.Int64
 	best         atomic.Int64 // lowest recent latency, in nanoseconds
-	refusing     atomic.Int64 // moving share of refused answers, in millionths
-	refusedAt    atomic.Int64
-	failing      atomic.Int64 // moving share of failed answers, in millionths
-	failedAt     atomic.Int64
-	erring       atomic.Int64 // moving share of errors of the backend server, in millionths
-	erredAt      atomic.Int64
+	refused      movingShare
+	failed       movingShare
+	errored      movingShare
 	level        atomic.Pointer[priority.Level]
 
 	mu          sync.Mutex
--- a/target/observe.go
+++ b/target/observe.go
@@ -39,18 +39,18 @@
 		m.quietSince.Store(at)
 		m.takeLevel(o)
 	}
-	m.observeRefusal(at, o.Kind == Refused)
+	m.refused.observe(at, o.Kind == Refused)
 	switch o.Kind {
 	case OK:
 		m.observeLatency(at, int64(o.Latency))
 		m.observeOutcome(at, false)
-		m.observeError(at, false)
+		m.errored.observe(at, false)
 	case Errored:
 		if m.latency.Load() > 0 {
 			m.observeSlower(at, int64(o.Latency))
 		}
 		m.observeOutcome(at, false)
-		m.observeError(at, true)
+		m.errored.observe(at, true)
 	case Failed:
 		m.observeSlower(at, int64(o.Latency))
 		m.observeOutcome(at, true)
@@ -60,7 +60,7 @@
 	case Refused:
 		return false
 	}
-	return m.failedInRow >= ejectAfterFailures || float64(m.failing.Load()) > ejectFailureShare*millionths
+	return m.failedInRow >= ejectAfterFailures || m.failed.share() > ejectFailureShare
 }
 
 func (m *member) takeLevel(o Observation) {
@@ -104,59 +104,18 @@
 	return best + int64(above*float64(idleHalving)/(float64(idleHalving)+idle))
 }
 
-func (m *member) observeRefusal(at int64, refused bool) {
-	share := float64(m.refusing.Load()) * (1 - answerWeight)
-	if refused {
-		share += answerWeight * millionths
-		m.refusedAt.Store(at)
-	}
-	m.refusing.Store(int64(share))
-}
-
-// refusalShare returns the share of answers that refuse, or 0 once the last refusal is old.
-func (m *member) refusalShare(at int64) float64 {
-	if at-m.refusedAt.Load() > int64(refusalMemory) {
-		return 0
-	}
-	return float64(m.refusing.Load()) / millionths
-}
-
 func halved(elapsed int64, halfLife time.Duration) float64 {
 	return math.Exp2(-float64(elapsed) / float64(halfLife))
 }
 
 func (m *member) observeOutcome(at int64, failed bool) {
-	share := float64(m.failing.Load()) * (1 - answerWeight)
+	m.failed.observe(at, failed)
 	if failed {
-		share += answerWeight * millionths
-		m.failedAt.Store(at)
 		m.failedInRow++
-	} else {
-		m.failedInRow = 0
-		m.ejections = max(0, m.ejections-1)
-	}
-	m.failing.Store(int64(share))
-}
-
-// failureShare returns the share of answers that failed, less the longer ago the last failure was.
-func (m *member) failureShare(at int64) float64 {
-	age := float64(max(at-m.failedAt.Load(), 0)) / float64(failureMemory)
-	return float64(m.failing.Load()) / millionths / (1 + age)
-}
-
-func (m *member) observeError(at int64, errored bool) {
-	share := float64(m.erring.Load()) * (1 - answerWeight)
-	if errored {
-		share += answerWeight * millionths
-		m.erredAt.Store(at)
+		return
 	}
-	m.erring.Store(int64(share))
-}
-
-// errorShare returns the share of answers that were errors, less the longer ago the last one was.
-func (m *member) errorShare(at int64) float64 {
-	age := float64(max(at-m.erredAt.Load(), 0)) / float64(failureMemory)
-	return float64(m.erring.Load()) / millionths / (1 + age)
+	m.failedInRow = 0
+	m.ejections = max(0, m.ejections-1)
 }
 
 // ejectOutlier ejects a target for its failures.
@@ -174,6 +133,6 @@
 	d := min(ejectionBase<<min(m.ejections, 5), ejectionCeiling)
 	m.ejections++
 	m.failedInRow = 0
-	m.failing.Store(0)
+	m.failed.reset()
 	m.ejectedUntil.Store(at + int64(d))
 }
--- a/target/selection.go
+++ b/target/selection.go
@@ -107,7 +107,7 @@
 	}
 	latency := m.expectedLatency(s.at)
 	return latency > pressureLatencies*m.best.Load()+int64(pressureSlack) ||
-		m.refusalShare(s.at) > pressureRefusals
+		m.refused.within(s.at, refusalMemory) > pressureRefusals
 }
 
 // pick takes the cheaper of two random candidates of the best tier that has any.
@@ -148,5 +148,5 @@
 		slots = unknownSlots
 	}
 	cost := float64(latency) * float64(m.inFlight.Load()+1) / (float64(slots) * s.chooser.weight(m, s.at))
-	return cost * (1 + refusalCost*m.refusalShare(s.at) + failureCost*(m.failureShare(s.at)+m.errorShare(s.at)))
+	return cost * (1 + refusalCost*m.refused.within(s.at, refusalMemory) + failureCost*(m.failed.fading(s.at, failureMemory)+m.errored.fading(s.at, failureMemory)))
 }
