Refuse a forced recovery while another member answers

Cause: a recovery beside a healthy majority would supersede it member by member, so a mistaken command could stop a working cluster.

The command asks all other members for a session at the addresses of the log and of the settings, and refuses where one answers. The process test recovers while the others run; it fails without the check.

--- a/internal/cmd/controlrecovercmd.go
+++ b/internal/cmd/controlrecovercmd.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"sapphirespread.example/internal/control"
+	"sapphirespread.example/internal/secure"
 	"sapphirespread.example/internal/settings"
 	"sapphirespread.example/replica"
 )
@@ -44,7 +45,7 @@
 	Done bool `json:"done"`
 }
 
-func (a *app) recoverControl(_ context.Context, c *cli.Command) error {
+func (a *app) recoverControl(ctx context.Context, c *cli.Command) error {
 	paths, err := arguments(c, 1, 1)
 	if err != nil {
 		return err
@@ -61,6 +62,14 @@
 		return fmt.Errorf("recovering %s: %w", loaded.Name, err)
 	}
 	defer opened.Close()
+	secured, err := secure.Load(loaded.TLS)
+	if err != nil {
+		return fmt.Errorf("securing sessions: %w", err)
+	}
+	if running := opened.Running(ctx, secured); len(running) > 0 {
+		return fmt.Errorf("recovering %s: %s still answers, and a recovery would stop it for good; stop it first where it is to be given up",
+			loaded.Name, strings.Join(running, " and "))
+	}
 	result := recovery{opened.Report(), c.Bool(confirmName)}
 	if result.Done {
 		if err := opened.Force(time.Now(), c.String("author"), c.Bool(runUntimedName)); err != nil {
@@ -85,10 +94,11 @@
 %[1]s %[8]s the only member of generation %[9]d, without %[10]s.
 
 - Publications after revision %[6]d are lost: withdrawn keys work again, limits are the older ones.
-  Revision %[6]d is published again as %[11]d; daemons take it, whatever they hold.
+  Revision %[6]d is published again as %[11]d; daemons of the old cluster take it.
 - Releases and reports of crashes after that entry are lost: quarantined requests may run again.
 - Claims after that entry are lost. Idempotency keys that carry a time up to a minute after the recovery and are
-  not held here never run; they are answered outcome-unknown. Keys without a time are %[12]s.
+  not held here never run; they are answered outcome-unknown. Keys without a time are
+  %[12]s.
 - The lost instances are refused for good once they reach a member. Destroy their folders: two of them that
   reach no member would go on as the old cluster.
 `, r.Name, r.LastIndex, r.LastTerm, r.LastAt.Format(time.RFC3339), r.Role, r.Revision, r.Claims.Keys,
--- a/internal/control/recovery.go
+++ b/internal/control/recovery.go
@@ -1,8 +1,11 @@
 package control
 
 import (
+	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
+	"net/netip"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -10,6 +13,7 @@
 	"sapphirespread.example/claim"
 	"sapphirespread.example/configuration"
 	"sapphirespread.example/internal/control/controlpb"
+	"sapphirespread.example/internal/peer"
 	"sapphirespread.example/internal/settings"
 	"sapphirespread.example/internal/store"
 	"sapphirespread.example/replica"
@@ -17,8 +21,9 @@
 
 // A Recovery forces a stopped instance to go on without the majority of its cluster.
 type Recovery struct {
-	opened *store.Recovery
-	state  *state
+	settings settings.Control
+	opened   *store.Recovery
+	state    *state
 }
 
 // A RecoveryReport tells what a stopped instance holds and what it would become.
@@ -41,7 +46,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Recovery{opened: opened, state: newState()}
+	r := &Recovery{settings: s, opened: opened, state: newState()}
 	if err := opened.Load(r.state); err != nil {
 		return nil, errors.Join(err, opened.Close())
 	}
@@ -85,6 +90,40 @@
 	return r.opened.Force(now, command)
 }
 
+// Running returns the lost members that still answer at the addresses of the log or the settings. They would be
+// stopped for good by the new generation.
+func (r *Recovery) Running(ctx context.Context, config *tls.Config) []string {
+	self := peer.Identity{Cluster: r.settings.Cluster, Process: r.settings.Name, Incarnation: uint64(time.Now().UnixNano())}
+	pool := peer.NewPool(self, peer.WithPoolTLS(config))
+	defer pool.Close()
+	var running []string
+	for _, member := range r.opened.Members() {
+		if member.ID != r.opened.ID && r.answers(ctx, pool, member) {
+			running = append(running, member.Name)
+		}
+	}
+	return running
+}
+
+func (r *Recovery) answers(ctx context.Context, pool *peer.Pool, member replica.Member) bool {
+	addresses := []netip.AddrPort{member.Address}
+	for _, configured := range r.settings.Members {
+		if configured.Name == member.Name && configured.Address != member.Address {
+			addresses = append(addresses, configured.Address)
+		}
+	}
+	for _, address := range addresses {
+		opening, cancel := context.WithTimeout(ctx, attachTimeout)
+		stream, err := pool.Open(opening, address, kindOperators)
+		cancel()
+		if err == nil {
+			stream.Abort()
+			return true
+		}
+	}
+	return false
+}
+
 // Close releases the folder.
 func (r *Recovery) Close() error {
 	return r.opened.Close()
--- a/internal/control/recovery_test.go
+++ b/internal/control/recovery_test.go
@@ -148,7 +148,11 @@
 	p.publish(lostPublications)
 	p.eventually("the daemon to hold what is lost later", func(context.Context) bool { return d.revision.Load() == p.revision })
 	p.accepted = kept
-	for _, one := range p.all {
+	p.kill(survivor)
+	if out, err := p.recover(survivor, "--confirm"); err == nil || !strings.Contains(out, "still answers") {
+		p.t.Fatalf("recovering while the others run: %v\n%s", err, out)
+	}
+	for _, one := range lost {
 		p.kill(one)
 	}
 	survivor.relay.setCut(false)
