--- a/internal/trace/admissionstep.go
+++ b/internal/trace/admissionstep.go
@@ -30,7 +30,8 @@
 	Workspace string             `json:"workspace,omitempty"`
 	Route     string             `json:"route,omitempty"`
 	Share     float64            `json:"share,omitempty"`
-	Shed      float64            `json:"shed,omitempty"`     // before it was sent
+	Shed      float64            `json:"shed,omitempty"` // before it was sent
+	Nested    bool               `json:"nested,omitempty"`
 	Deadline  time.Duration      `json:"deadline,omitempty"` // from the start of the recording
 	Latency   time.Duration      `json:"latency,omitempty"`
 	Failed    bool               `json:"failed,omitempty"`
@@ -64,7 +65,7 @@
 	switch s.Call {
 	case Offer:
 		a.Offer(now, priority.Request{
-			ID: s.ID, WholeHash: s.WholeHash, Priority: s.Priority, Workspace: s.Workspace, Route: s.Route, Share: s.Share, Shed: s.Shed,
+			ID: s.ID, WholeHash: s.WholeHash, Priority: s.Priority, Workspace: s.Workspace, Route: s.Route, Share: s.Share, Shed: s.Shed, Nested: s.Nested,
 			Deadline: instant(a.start, s.Deadline),
 		})
 	case Done:
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -24,11 +24,13 @@
 	applied uint64
 
 	// heardAt is when a leader was last heard from, or the start.
-	heardAt     time.Time
-	electionAt  time.Time
-	announceAt  time.Time
-	votes       map[ID]bool
-	announced   map[string]ID
+	heardAt    time.Time
+	electionAt time.Time
+	announceAt time.Time
+	votes      map[ID]bool
+	announced  map[string]ID
+	// learned are the addresses that members sent from since the start.
+	learned     map[ID]netip.AddrPort
 	applyPaused bool
 	installing  *incoming
 	installed   *Snapshot
@@ -37,9 +39,12 @@
 	messages    []Outbound
 }
 
-// New returns a replica that goes on from what its disk holds, or ErrInvalid where that has gaps.
+// New returns a replica that goes on from what its disk holds, ErrInvalid where that has gaps, or ErrSuperseded.
 // A replica whose disk was empty has a new id and belongs to no cluster until it founds or joins one.
 func New(now time.Time, name string, id ID, address netip.AddrPort, disk Persisted, opts ...Option) (*Replica, error) {
+	if newer := disk.HardState.Superseded; newer != 0 {
+		return nil, supersededBy(disk.HardState.Lineage.Generation, newer)
+	}
 	r := &Replica{
 		options:   newOptions(opts),
 		self:      Member{Name: name, ID: id, Address: address},
@@ -52,6 +57,7 @@
 		commit:    disk.Snapshot.Index,
 		applied:   disk.Snapshot.Index,
 		announced: map[string]ID{},
+		learned:   map[ID]netip.AddrPort{},
 	}
 	r.log.reset(disk.Snapshot.Index, disk.Snapshot.Term)
 	r.configurations = configurations{{index: disk.Snapshot.Index, members: disk.Snapshot.Members}}
@@ -151,12 +157,13 @@
 	if !ok {
 		return
 	}
-	r.sendTo(member.Address, Message{To: to, Term: term, Body: body})
+	r.sendTo(r.addressOf(member), Message{To: to, Term: term, Body: body})
 }
 
 func (r *Replica) sendTo(address netip.AddrPort, m Message) {
 	m.From = r.self.ID
 	m.ReplyTo = r.self.Address
 	m.Cluster = r.hard.Cluster
+	m.Lineage = r.hard.Lineage
 	r.messages = append(r.messages, Outbound{Address: address, Message: m})
 }
