--- a/internal/control/process_test.go
+++ b/internal/control/process_test.go
@@ -27,14 +27,16 @@
 	settings  string
 	operators netip.AddrPort
 	relay     *relay
+	door      *relay
 	command   *exec.Cmd
 	log       *bytes.Buffer
 }
 
-// processes are three control instances that reach each other through relays.
+// processes are three control instances that reach each other through relays, and are reached by daemons through doors.
 type processes struct {
 	t        testing.TB
 	binary   string
+	ports    *ports
 	all      []*process
 	client   *operator.Client
 	accepted []string
@@ -45,7 +47,7 @@
 type ports struct{ next uint16 }
 
 func newPorts() *ports {
-	const first, processes, each = 20_000, 600, 20
+	const first, processes, each = 20_000, 300, 40
 	return &ports{next: uint16(first + os.Getpid()%processes*each)}
 }
 
@@ -77,6 +79,7 @@
 		t.Fatalf("building: %v\n%s", err, out)
 	}
 	ports := newPorts()
+	p.ports = ports
 	var members strings.Builder
 	var addresses []netip.AddrPort
 	var listens []netip.AddrPort
@@ -85,6 +88,8 @@
 		listens = append(listens, ports.free(t))
 		one := &process{name: fmt.Sprintf("control-%d", i+1), folder: t.TempDir(), operators: ports.free(t)}
 		one.relay = newRelay(listener, listens[i])
+		door, _ := ports.reserve(t)
+		one.door = newRelay(door, listens[i])
 		p.all = append(p.all, one)
 		addresses = append(addresses, one.operators)
 		fmt.Fprintf(&members, "\n[[members]]\nname = %q\naddress = %q\n", one.name, relayed)
@@ -119,6 +124,7 @@
 		p.signal(one, syscall.SIGCONT)
 		p.kill(one)
 		one.relay.close()
+		one.door.close()
 		if p.t.Failed() {
 			p.t.Logf("%s:\n%s", one.name, one.log)
 		}
@@ -152,13 +158,31 @@
 	return operator.NewClient([]netip.AddrPort{one.operators}, operator.WithPatience(0), operator.WithTimeout(time.Second))
 }
 
-// split returns the leader and the other instances.
+// isolate cuts one instance off from the others in both directions, or ends that.
+func (p *processes) isolate(one *process, cut bool) {
+	one.relay.setCut(cut)
+	for _, other := range p.all {
+		if other != one {
+			other.relay.setCutFrom(one.name, cut)
+		}
+	}
+}
+
+// split returns the leader, once all running instances name the same one, and the other instances.
 func (p *processes) split() (leader *process, others []*process) {
 	p.t.Helper()
 	p.eventually("a leader", func(ctx context.Context) bool {
 		leader, others = nil, nil
+		named := ""
 		for _, one := range p.all {
-			if _, err := only(one).Current(ctx); err == nil && leader == nil {
+			status, err := only(one).Status(ctx)
+			if err == nil && (status.Leader == "" || named != "" && status.Leader != named) {
+				return false
+			}
+			named = max(named, status.Leader)
+		}
+		for _, one := range p.all {
+			if one.name == named {
 				leader = one
 			} else {
 				others = append(others, one)
@@ -169,24 +193,30 @@
 	return leader, others
 }
 
-// publish publishes a set on the last accepted revision and checks that the answer holds at once and in order.
+// publish publishes one limit after another on the last accepted revision and checks that each answer holds at once.
 func (p *processes) publish(count int) {
 	p.t.Helper()
 	for range count {
-		id := fmt.Sprintf("publication-%d", len(p.accepted))
 		limit := configuration.Limit{Name: "limit", Rate: float64(len(p.accepted) + 1), Burst: 10}
-		published, err := p.client.Publish(context.Background(), configuration.Publish{
-			ID: id, Base: p.revision, Author: "test", Set: configuration.Set{Limits: []configuration.Limit{limit}},
-		})
-		if err != nil || published.Kind != configuration.Accepted || published.Revision <= p.revision {
-			p.t.Fatalf("%s on %d: %+v, %v", id, p.revision, published, err)
+		if err := p.publishSet(configuration.Set{Limits: []configuration.Limit{limit}}); err != nil {
+			p.t.Fatal(err)
 		}
-		p.revision = published.Revision
-		p.accepted = append(p.accepted, id)
 		p.check()
 	}
 }
 
+// publishSet publishes a set on the last accepted revision.
+func (p *processes) publishSet(set configuration.Set) error {
+	id := fmt.Sprintf("publication-%d", len(p.accepted))
+	published, err := p.client.Publish(context.Background(), configuration.Publish{ID: id, Base: p.revision, Author: "test", Set: set})
+	if err != nil || published.Kind != configuration.Accepted || published.Revision <= p.revision {
+		return fmt.Errorf("%s on %d: %+v, %w", id, p.revision, published, err)
+	}
+	p.revision = published.Revision
+	p.accepted = append(p.accepted, id)
+	return nil
+}
+
 // check reads from the leader that all accepted publications are in force, each once and in order.
 func (p *processes) check() {
 	p.t.Helper()
