--- a/internal/control/recovery_test.go
+++ b/internal/control/recovery_test.go
@@ -18,17 +18,17 @@
 	"sapphirespread.example/internal/operator"
 )
 
-// attachedDaemon is a daemon process whose revision is watched.
-type attachedDaemon struct {
+// watchedDaemon is a daemon process whose revision is watched.
+type watchedDaemon struct {
 	*process
 	revision atomic.Uint64
 	ready    atomic.Bool
 	reverted atomic.Bool
 }
 
-func (p *processes) startDaemon() *attachedDaemon {
+func (p *processes) startWatchedDaemon() *watchedDaemon {
 	p.t.Helper()
-	d := &attachedDaemon{process: &process{name: "daemon-1", operators: p.ports.free(p.t), folder: p.t.TempDir()}}
+	d := &watchedDaemon{process: &process{name: "daemon-1", operators: p.ports.free(p.t), folder: p.t.TempDir()}}
 	var control []string
 	for _, one := range p.all {
 		control = append(control, fmt.Sprintf("%q", one.relay.listener.Addr()))
@@ -50,7 +50,7 @@
 	return d
 }
 
-func (d *attachedDaemon) watch(ctx context.Context) {
+func (d *watchedDaemon) watch(ctx context.Context) {
 	for ; ctx.Err() == nil; time.Sleep(10 * time.Millisecond) {
 		var read struct {
 			Daemon struct {
@@ -136,7 +136,7 @@
 
 // loseMajority publishes what the survivor never hears of, kills all and returns it and the others, whose folders
 // are moved to copies.
-func (p *processes) loseMajority(d *attachedDaemon, lostPublications int) (survivor *process, lost []*process, copies []string) {
+func (p *processes) loseMajority(d *watchedDaemon, lostPublications int) (survivor *process, lost []*process, copies []string) {
 	p.t.Helper()
 	leader, others := p.split()
 	survivor, lost = others[0], []*process{leader, others[1]}
@@ -169,7 +169,7 @@
 	p := startThree(t)
 	p.publish(3)
 	p.waitForAll()
-	daemon := p.startDaemon()
+	daemon := p.startWatchedDaemon()
 	p.eventually("the daemon to be ready", func(context.Context) bool { return daemon.ready.Load() })
 	survivor, lost, copies := p.loseMajority(daemon, 2)
 
