--- a/internal/daemon/deeper.go
+++ b/internal/daemon/deeper.go
@@ -5,19 +5,18 @@
 	"time"
 
 	"sapphirespread.example/priority"
-	"sapphirespread.example/target"
 )
 
 // deeper carries the levels of deeper services up the chain of calls, so that a request that one of them
 // would shed is refused before any service runs it.
 type deeper struct {
-	chooser      *target.Chooser
+	chooser      chooser
 	levels       sync.Map // priority.Callee to *priority.Level, as the callee's targets last reported it
 	mu           sync.Mutex
 	dependencies *priority.Dependencies
 }
 
-func newDeeper(chooser *target.Chooser) *deeper {
+func newDeeper(chooser chooser) *deeper {
 	return &deeper{chooser: chooser, dependencies: priority.NewDependencies()}
 }
 
