Measure in force at daemons through the loss of a leader

Cause: that a change is in force within 4 s through one lost leader was worked out, not measured. BenchmarkInForce now runs with the default timeouts and then loses the leader twice, isolated and killed, each with a change sent at that time.

--- a/internal/control/attached_bench_test.go
+++ b/internal/control/attached_bench_test.go
@@ -20,7 +20,8 @@
 )
 
 // BenchmarkInForce publishes changes to three control processes with daemons as processes, and reports by their time
-// lines how long a change takes from its sending and from its acceptance until it is in force at all daemons.
+// lines how long a change takes from its sending and from its acceptance until it is in force at all daemons, and from the
+// loss of the leader.
 func BenchmarkInForce(b *testing.B) {
 	for _, daemons := range []int{5, 10, 20, 40} {
 		b.Run(fmt.Sprintf("daemons=%d", daemons), func(b *testing.B) {
@@ -32,7 +33,7 @@
 }
 
 func measureInForce(b *testing.B, daemons int) {
-	a := &attachment{processes: startThree(b), set: slopeSet()}
+	a := &attachment{processes: startThreeWith(b, time.Second, 100*time.Millisecond), set: slopeSet()}
 	for i := range daemons {
 		a.daemons = append(a.daemons, a.startDaemon(fmt.Sprintf("daemon-%d", i)))
 	}
@@ -57,9 +58,27 @@
 	}
 	report(b, accepted, "accepted")
 	report(b, sent, "sent")
+	b.ReportMetric(a.throughLostLeader(func(leader *process) { a.isolate(leader, true) }), "leader-isolated-ms")
+	for _, one := range a.all {
+		a.isolate(one, false)
+	}
+	a.waitForAll()
+	b.ReportMetric(a.throughLostLeader(a.kill), "leader-killed-ms")
 	a.processes.stop()
 }
 
+// throughLostLeader returns the milliseconds from the loss of the leader until a change sent then is in force at all daemons.
+func (a *attachment) throughLostLeader(lose func(*process)) float64 {
+	a.t.Helper()
+	leader, _ := a.split()
+	lost := time.Now()
+	lose(leader)
+	revision, _ := a.change(func(set *configuration.Set) { set.Limits[0].Burst++ })
+	a.awaitTimelines(revision)
+	inForce := a.lastInForce(map[uint64]time.Time{revision: lost})[revision]
+	return float64(inForce.Sub(lost).Microseconds()) / 1e3
+}
+
 // awaitTimelines waits until the time lines of all daemons have a revision.
 func (a *attachment) awaitTimelines(revision uint64) {
 	a.t.Helper()
--- a/internal/control/process_test.go
+++ b/internal/control/process_test.go
@@ -73,6 +73,11 @@
 }
 
 func startThree(t testing.TB) *processes {
+	t.Helper()
+	return startThreeWith(t, 400*time.Millisecond, 50*time.Millisecond)
+}
+
+func startThreeWith(t testing.TB, electionTimeout, heartbeat time.Duration) *processes {
 	t.Helper()
 	p := &processes{t: t, binary: filepath.Join(t.TempDir(), "sapphirespread")}
 	if out, err := exec.Command("go", "build", "-o", p.binary, "sapphirespread.example").CombinedOutput(); err != nil {
@@ -97,8 +102,8 @@
 	for i, one := range p.all {
 		one.settings = filepath.Join(t.TempDir(), "control.toml")
 		text := fmt.Sprintf("name = %q\ncluster = \"test\"\nfailure-domain = \"east\"\npeer-listen = %q\npeer-advertise = %q\noperators-listen = %q\n"+
-			"data-folder = %q\nelection-timeout = \"400ms\"\nheartbeat = \"50ms\"\n%s",
-			one.name, listens[i], one.relay.listener.Addr(), one.operators, filepath.Join(one.folder, "data"), members.String())
+			"data-folder = %q\nelection-timeout = %q\nheartbeat = %q\n%s",
+			one.name, listens[i], one.relay.listener.Addr(), one.operators, filepath.Join(one.folder, "data"), electionTimeout, heartbeat, members.String())
 		if err := os.WriteFile(one.settings, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
