Test each refusal that says not run, and answer a failed dial as target unreachable

The table test by kind found that a dial to the backend server beside a daemon that failed was always answered 'deadline-unreachable': the run was ended first, which ends its context, and the context was asked after that. The call was therefore never sent to another target. Ruled out: a deadline that had passed; the route had 20 s. Change: failedBeforeRun asks the context before it ends the run. Connections to backend servers (12 ways) and between daemons (6 ways) are broken after the first byte of a request: each answer says unknown or is cut.

--- /dev/null
+++ b/internal/daemon/broken_test.go
@@ -0,0 +1,160 @@
+package daemon_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"sapphirespread.example/internal/daemon"
+	"sapphirespread.example/refusal"
+)
+
+// after reads the request's head and body and writes an answer that breaks off.
+func after(answer string) func(net.Conn) {
+	return func(conn net.Conn) {
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err == nil {
+			_, _ = io.Copy(io.Discard, request.Body)
+		}
+		_, _ = io.WriteString(conn, answer)
+		_ = conn.Close()
+	}
+}
+
+// breakingBackend announces a backend server that does with each connection what serve says.
+func (f *fleet) breakingBackend(name, service string, serve func(net.Conn)) *backendServer {
+	f.t.Helper()
+	b := &backendServer{name: name, slots: testSlots}
+	b.daemon, b.stop, b.ended = f.daemon(name)
+	listener := listen(f.t)
+	f.t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	b.announce(f, service, addressOf(listener), "ready")
+	go b.keepAnnouncing(f.t.Context(), f, service, addressOf(listener))
+	return b
+}
+
+// TestBrokenBackendConnectionIsOfUnknownOutcome breaks the connection to a backend server in each way after the
+// first byte of a request can have reached it: no answer says that the request was not run, or ends as whole.
+func TestBrokenBackendConnectionIsOfUnknownOutcome(t *testing.T) {
+	f := newFleet(t)
+	set := baseSet()
+	set.Routes[1].Deadline = time.Second
+	set.Routes[2].Deadline = time.Second
+	set.Routes[2].Service = "courts"
+	f.publish(set)
+	const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	cases := []struct {
+		name  string
+		serve func(net.Conn)
+		cut   bool
+	}{
+		{"closed unread", func(conn net.Conn) { _ = conn.Close() }, false},
+		{"reset after a byte", func(conn net.Conn) {
+			_, _ = conn.Read(make([]byte, 1))
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}, false},
+		{"closed after the request", after(""), false},
+		{"garbage", after("no such protocol\r\n\r\n"), false},
+		{"half a status line", after("HTTP/1.1 20"), false},
+		{"half a header", after("HTTP/1.1 200 OK\r\nContent-Le"), false},
+		{"bad length", after("HTTP/1.1 200 OK\r\nContent-Length: -7\r\n\r\n"), false},
+		{"interim answer only", after("HTTP/1.1 103 Early Hints\r\n\r\n"), false},
+		{"half a body", after("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhalf"), true},
+		{"half a chunk", after("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf"), true},
+		{"no last chunk", after("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"), true},
+		{"silence", func(net.Conn) {}, false},
+	}
+	var now atomic.Pointer[func(net.Conn)]
+	working := after(whole)
+	now.Store(&working)
+	served := f.breakingBackend("courts-1", "courts", func(conn net.Conn) { (*now.Load())(conn) })
+	entry, _, _ := f.daemon("entry")
+	keys := 0
+	send := func(d *backendServer, path string) reply {
+		keys++
+		return post(d.daemon, path, keys)
+	}
+	for _, c := range cases {
+		for name, d := range map[string]*backendServer{"beside": served, "across": {daemon: entry}} {
+			for _, path := range []string{"/open/1", "/bookings"} {
+				now.Store(&working)
+				f.eventually("an answer", func() bool { return send(d, path).status == http.StatusOK })
+				now.Store(&c.serve)
+				got := send(d, path)
+				if cut := c.cut && got.err != nil; !cut && !isUnknown(got) {
+					t.Errorf("%s, %s, %s: %d %s %s %q %v", c.name, name, path, got.status, got.refusal(), got.header.Get(headerRunState), got.body, got.err)
+				}
+			}
+		}
+	}
+}
+
+// post sends a request of that number; a client of Go resends by itself what carries an idempotency key.
+func post(d *daemon.Daemon, path string, number int) reply {
+	body := fmt.Sprint("body ", number)
+	if path == "/bookings" {
+		return ask(d, http.MethodPost, path, "club", body, "Idempotency-Key", fmt.Sprint("key-", number))
+	}
+	return ask(d, http.MethodPost, path, "club", body)
+}
+
+func isUnknown(got reply) bool {
+	return got.err == nil && got.refusal() != "" && got.header.Get(headerRunState) == string(refusal.Unknown)
+}
+
+// TestBrokenDaemonConnectionIsOfUnknownOutcome breaks the connection between two daemons before, in and after the
+// request and its answer.
+func TestBrokenDaemonConnectionIsOfUnknownOutcome(t *testing.T) {
+	f := newFleet(t)
+	set := baseSet()
+	set.Routes[1].Deadline = time.Second
+	set.Routes[2].Deadline = time.Second
+	f.publish(set)
+	var runs atomic.Int64
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		echo(w, r)
+	}
+	f.relayed = true
+	f.backend("courts-1", "courts", handler)
+	courts := f.relay
+	f.backend("bookings-1", "bookings", handler)
+	relays := map[string]*relay{"/open/1": courts, "/bookings": f.relay}
+	f.relayed = false
+	entry, _, _ := f.daemon("entry")
+	keys := 0
+	for path, relay := range relays {
+		send := func() reply {
+			keys++
+			return post(entry, path, keys)
+		}
+		for _, next := range []breakage{breakBeforeRequest, breakInRequest, breakAfterRequest, breakBeforeAnswer, breakInAnswer, freeze} {
+			f.eventually("an answer", func() bool { return send().status == http.StatusOK })
+			before := runs.Load()
+			relay.arm(next)
+			got := send()
+			if cut := next == breakInAnswer && got.err != nil; !cut && !isUnknown(got) {
+				t.Errorf("%s, breakage %d: %d %s %s %q %v", path, next, got.status, got.refusal(), got.header.Get(headerRunState), got.body, got.err)
+			}
+			if ran := runs.Load() - before; next >= breakBeforeAnswer && next != freeze && ran != 1 {
+				t.Errorf("%s, breakage %d: %d runs", path, next, ran)
+			}
+			relay.reset()
+		}
+	}
+}
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -23,7 +23,11 @@
 	"sapphirespread.example/key"
 )
 
-const testBound = 20 * time.Second
+const (
+	testBound     = 20 * time.Second
+	testFreshness = 3 * time.Second
+	testSlots     = 64
+)
 
 // A fleet is a control instance with daemons and backend servers on loopback.
 type fleet struct {
@@ -33,6 +37,9 @@
 	revision uint64
 	logs     *lockedBuffer
 	served   *daemon.Daemon
+	domain   string
+	relayed  bool
+	relay    *relay
 
 	stopControlRun context.CancelFunc
 	controlEnded   chan error
@@ -45,6 +52,7 @@
 	stop    context.CancelFunc
 	ended   chan error
 	handler http.HandlerFunc
+	slots   int
 	server  *http.Server
 	leave   context.CancelFunc
 }
@@ -64,7 +72,7 @@
 
 func newFleet(t testing.TB) *fleet {
 	t.Helper()
-	f := &fleet{t: t, logs: &lockedBuffer{}}
+	f := &fleet{t: t, logs: &lockedBuffer{}, domain: "domain-1"}
 	peers := listen(t)
 	f.peer = addressOf(peers)
 	s := settings.Control{
@@ -144,14 +152,18 @@
 	s := settings.Daemon{
 		Name:          name,
 		Cluster:       "test",
-		FailureDomain: "domain-1",
+		FailureDomain: f.domain,
 		Control:       []netip.AddrPort{f.peer},
-		Freshness:     3 * time.Second,
+		Freshness:     testFreshness,
 		Timeouts: settings.Timeouts{
 			ReadHeader: time.Second, Idle: time.Minute, BodyStall: time.Second, Dial: time.Second, Drain: 10 * time.Second,
 		},
 	}
 	listeners := daemon.Listeners{Callers: listen(f.t), Peers: listen(f.t), Subcalls: listen(f.t), Operators: listen(f.t)}
+	if f.relayed {
+		f.relay = newRelay(f.t, addressOf(listeners.Peers))
+		s.PeerAdvertise = addressOf(f.relay.listener)
+	}
 	d := daemon.New(s, daemon.WithListeners(listeners), daemon.WithLogger(zerolog.New(f.logs)))
 	stop, ended := f.run(d.Run)
 	f.eventually(name+" is ready", func() bool {
@@ -172,7 +184,13 @@
 // backend starts a backend server of service with its daemon.
 func (f *fleet) backend(name, service string, handler http.HandlerFunc) *backendServer {
 	f.t.Helper()
-	b := &backendServer{name: name, handler: handler}
+	return f.backendOf(name, service, testSlots, handler)
+}
+
+// backendOf starts a backend server of service that announces slots, with its daemon.
+func (f *fleet) backendOf(name, service string, slots int, handler http.HandlerFunc) *backendServer {
+	f.t.Helper()
+	b := &backendServer{name: name, handler: handler, slots: slots}
 	b.daemon, b.stop, b.ended = f.daemon(name)
 	f.served = b.daemon
 	listener := listen(f.t)
@@ -189,7 +207,7 @@
 
 func (b *backendServer) announce(f *fleet, service string, address netip.AddrPort, state string) {
 	body, _ := json.Marshal(map[string]any{
-		"name": b.name, "service": service, "address": address, "slots": 64, "state": state,
+		"name": b.name, "service": service, "address": address, "slots": b.slots, "state": state,
 	})
 	request, _ := http.NewRequest(http.MethodPut, "http://"+b.daemon.SubcallsAddress().String()+"/announce/v1/target", strings.NewReader(string(body)))
 	response, err := http.DefaultClient.Do(request)
--- a/internal/daemon/local.go
+++ b/internal/daemon/local.go
@@ -237,14 +237,15 @@
 }
 
 func (r *localRun) failedBeforeRun(ctx context.Context, err error) *attemptError {
-	var dialError *net.OpError
-	if ctx.Err() == nil && errors.As(err, &dialError) && dialError.Op == "dial" {
-		r.daemon.backend.crashed(r.incarnation)
-	}
-	r.finish(true, "")
+	// The end of the run ends ctx too.
+	defer r.finish(true, "")
 	if ctx.Err() != nil {
 		return refuse(refusal.DeadlineUnreachable, "the deadline passed before the request ran")
 	}
+	var dialError *net.OpError
+	if errors.As(err, &dialError) && dialError.Op == "dial" {
+		r.daemon.backend.crashed(r.incarnation)
+	}
 	return refuse(refusal.TargetUnreachable, err.Error())
 }
 
--- /dev/null
+++ b/internal/daemon/refusal_test.go
@@ -0,0 +1,203 @@
+package daemon_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"sapphirespread.example/configuration"
+	"sapphirespread.example/internal/daemon"
+	"sapphirespread.example/key"
+	"sapphirespread.example/refusal"
+)
+
+const (
+	headerTestRequest = "Test-Request"
+	headerRefusal     = "Sapphirespread-Refusal"
+	headerRunState    = "Sapphirespread-Run-State"
+	headerCallToken   = "Sapphirespread-Call-Token"
+)
+
+// A refusedCase brings one kind about: before makes ready, and ask asks until the kind is answered.
+type refusedCase struct {
+	kind   refusal.Kind
+	before func()
+	ask    func(id string) reply
+}
+
+// neverAnswered names the kinds that no request brings about, and why.
+var neverAnswered = map[refusal.Kind]string{
+	refusal.RetriesExhausted: "a request without an attempt left is answered with the kind of its last attempt",
+}
+
+// TestRefusalsThatSayNotRunRanNothing brings about each kind whose answer says not-run, and counts the runs of the
+// requests that were refused so.
+func TestRefusalsThatSayNotRunRanNothing(t *testing.T) {
+	f := newFleet(t)
+	set := baseSet()
+	set.Limits = append(set.Limits, configuration.Limit{Name: "tiny", Rate: 0.01, Burst: 1})
+	set.Workspaces = append(set.Workspaces, configuration.Workspace{Name: "narrow", Limit: "tiny", Share: 1})
+	for _, name := range []string{"narrow", "withdrawn"} {
+		set.Keys = append(set.Keys, configuration.Key{Name: name, Workspace: "narrow", Hash: key.Hash(secretOf(name)), Withdrawn: name == "withdrawn"})
+	}
+	for _, name := range []string{"narrow", "brief", "gone", "nobody"} {
+		service := strings.Replace(name, "brief", "narrow", 1)
+		set.Routes = append(set.Routes, configuration.Route{
+			Name: name, Path: "/" + name + "/*", Service: service, Priority: "low", Deadline: 20 * time.Second, Repeatable: true,
+		})
+		if name == service {
+			set.Services = append(set.Services, configuration.Service{Name: name, RetryBudget: 0.2, MinimumRetriesPerSecond: 10})
+		}
+	}
+	set.Routes[len(set.Routes)-3].Deadline = 300 * time.Millisecond
+	f.publish(set)
+
+	runs := &runTable{runs: make(map[string]int)}
+	release, held := make(chan struct{}), make(chan struct{}, 2)
+	counted := func(handler http.HandlerFunc) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			runs.add(r.Header.Get(headerTestRequest))
+			handler(w, r)
+		}
+	}
+	plain := counted(func(http.ResponseWriter, *http.Request) {})
+	f.backend("bookings-1", "bookings", plain)
+	var leaving *backendServer
+	for _, name := range []string{"courts-1", "courts-2", "courts-3"} {
+		var own *backendServer
+		own = f.backend(name, "courts", counted(func(_ http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/courts/poison" {
+				own.leave()
+				_ = own.server.Close()
+			}
+		}))
+		leaving = own
+	}
+	gone := f.backend("gone-1", "gone", plain)
+	var narrow *backendServer
+	narrow = f.backendOf("narrow-1", "narrow", 2, func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/narrow/hold":
+			held <- struct{}{}
+			<-release
+		case "/narrow/parent":
+			sub, _ := http.NewRequest(http.MethodGet, "http://"+narrow.daemon.SubcallsAddress().String()+"/narrow/sub", nil)
+			sub.Header.Set(headerCallToken, r.Header.Get(headerCallToken))
+			sub.Header.Set(headerTestRequest, r.Header.Get(headerTestRequest))
+			got := send(sub)
+			_, _ = fmt.Fprintf(w, "%s %s", got.refusal(), got.header.Get(headerRunState))
+		default:
+			runs.add(r.Header.Get(headerTestRequest))
+		}
+	})
+	entry, _, _ := f.daemon("entry")
+	to := func(d *daemon.Daemon, path, workspace, body string, headers ...string) func(string) reply {
+		return func(id string) reply {
+			return ask(d, http.MethodPost, path, workspace, body, append(headers, headerTestRequest, id)...)
+		}
+	}
+	served := func(path string, headers ...string) {
+		f.eventually(path, func() bool { return to(entry, path, "club", "", headers...)("served").status == http.StatusOK })
+	}
+	hold := func(d *daemon.Daemon) {
+		go ask(d, http.MethodGet, "/narrow/hold", "club", "")
+		<-held
+	}
+	var forgotten atomic.Int64
+	cases := []refusedCase{
+		{refusal.MalformedRequest, func() { served("/courts/1") }, func(id string) reply { return halfBody(t, entry, id) }},
+		{refusal.NoRoute, nil, to(entry, "/nowhere", "club", "")},
+		{refusal.KeyMissing, nil, to(entry, "/courts/1", "", "")},
+		{refusal.KeyUnknown, nil, to(entry, "/courts/1", "stranger", "")},
+		{refusal.KeyWithdrawn, nil, to(entry, "/courts/1", "withdrawn", "")},
+		{refusal.CallTokenInvalid, nil, func(id string) reply {
+			request, _ := http.NewRequest(http.MethodGet, "http://"+leaving.daemon.SubcallsAddress().String()+"/courts/1", nil)
+			request.Header.Set(headerCallToken, "forged")
+			request.Header.Set(headerTestRequest, id)
+			return send(request)
+		}},
+		{refusal.RateExceeded, nil, to(entry, "/courts/1", "narrow", "")},
+		{refusal.NoTarget, nil, to(entry, "/nobody/1", "club", "")},
+		{refusal.TargetUnreachable, func() { _ = gone.server.Close() }, to(entry, "/gone/1", "club", "")},
+		{refusal.Overloaded, func() {
+			served("/narrow/1")
+			hold(leaving.daemon)
+		}, func(id string) reply {
+			got := to(entry, "/narrow/parent", "club", "")(id)
+			kind, state, _ := strings.Cut(got.body, " ")
+			return reply{header: http.Header{headerRefusal: {kind}, headerRunState: {state}}}
+		}},
+		{refusal.DeadlineUnreachable, func() { hold(entry) }, to(entry, "/brief/1", "club", "")},
+		{refusal.IdempotencyKeyMissing, nil, to(entry, "/bookings", "club", "")},
+		{refusal.IdempotencyKeyInvalid, nil, to(entry, "/bookings", "club", "", "Idempotency-Key", strings.Repeat("k", 1000))},
+		{refusal.IdempotencyKeyExpired, nil, to(entry, "/bookings", "club", "", "Idempotency-Key", "01900000-0000-7000-8000-000000000000")},
+		{
+			refusal.IdempotencyKeyReused, func() { served("/bookings", "Idempotency-Key", "used") },
+			to(entry, "/bookings", "club", "another", "Idempotency-Key", "used"),
+		},
+		{refusal.Quarantined, nil, to(entry, "/courts/poison", "club", "")},
+		{refusal.Draining, leaving.stop, to(leaving.daemon, "/courts/1", "club", "")},
+		{refusal.ClaimUnavailable, func() {
+			close(release)
+			f.stopControl()
+		}, func(id string) reply {
+			return to(entry, "/bookings", "club", "", "Idempotency-Key", fmt.Sprint(forgotten.Add(1)))(id)
+		}},
+		{refusal.ConfigurationStale, nil, to(entry, "/courts/1", "club", "")},
+	}
+	refused := make(map[refusal.Kind]string)
+	for _, c := range cases {
+		if c.before != nil {
+			c.before()
+		}
+		attempt := 0
+		f.eventually(string(c.kind), func() bool {
+			attempt++
+			id := fmt.Sprintf("%s-%d", c.kind, attempt)
+			got := c.ask(id)
+			if got.refusal() != string(c.kind) {
+				return false
+			}
+			if state := got.header.Get(headerRunState); state != string(refusal.NotRun) {
+				t.Errorf("%s: run state %q", c.kind, state)
+			}
+			refused[c.kind] = id
+			return true
+		})
+	}
+	for _, kind := range refusal.Kinds() {
+		id, answered := refused[kind]
+		_, never := neverAnswered[kind]
+		if notRun := refusal.AnswerTo(kind).RunState == refusal.NotRun; notRun && answered == never || answered && !notRun {
+			t.Errorf("%s: answered as not run: %t, named as never answered: %t", kind, answered, never)
+		}
+		if ran := runs.of(id); answered && ran > 0 {
+			t.Errorf("%s: refused as not run, and ran %d times", kind, ran)
+		}
+	}
+}
+
+// halfBody sends a request whose body ends early, and returns the answer.
+func halfBody(t *testing.T, d *daemon.Daemon, id string) reply {
+	t.Helper()
+	conn, err := net.Dial("tcp", d.CallersAddress().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = fmt.Fprintf(conn, "POST /courts/1 HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n%s: %s\r\nContent-Length: 9\r\n\r\nhalf",
+		secretOf("club"), headerTestRequest, id)
+	_ = conn.(*net.TCPConn).CloseWrite()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return reply{err: err, header: http.Header{}}
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	return reply{status: response.StatusCode, header: response.Header}
+}
