Finish the requests on connections that a stopping daemon has accepted

Cause: http.Server.Shutdown drops without an answer a request that is being read at that moment, and overlooks a connection between Accept and its first state. Callers saw EOF at the end of the notice of a stop under load. Ruled out: the end of the process (1 s later) and the drain (nothing was in flight). Change: a server closes its listener, waits for the end of Accept and until no request is awaited or read, for a second at most, and shuts down then. Test: a surge with a leader killed, a leader frozen while it grants, a failure domain lost, and a stop of two daemons: no booking twice, not run is true, rate and burst held over the whole window, no request cut by the stop, and all kinds are served again.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -167,21 +166,7 @@
 	d.peers.Handle(kindCall, d.serveCalls)
 }
 
-// A httpServer serves one listener.
-type httpServer struct {
-	*http.Server
-	listener net.Listener
-}
-
-func (s httpServer) serve() error {
-	err := s.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
-
-func (d *Daemon) servers() ([]httpServer, error) {
+func (d *Daemon) servers() ([]*httpServer, error) {
 	operators, err := d.operatorsHandler()
 	if err != nil {
 		return nil, fmt.Errorf("serving operators: %w", err)
@@ -190,24 +175,15 @@
 	subcalls.HandleFunc("PUT "+announcePath, d.serveAnnounce)
 	subcalls.HandleFunc("DELETE "+announcePath+"/{name}", d.serveLeave)
 	subcalls.HandleFunc("/", d.serveSubcall)
-	return []httpServer{
-		{newHTTPServer(http.HandlerFunc(d.serveCaller), d.settings.Timeouts), d.listeners.Callers},
-		{newHTTPServer(subcalls, d.settings.Timeouts), d.listeners.Subcalls},
-		{newHTTPServer(operators, d.settings.Timeouts), d.listeners.Operators},
+	return []*httpServer{
+		newHTTPServer(d.listeners.Callers, http.HandlerFunc(d.serveCaller), d.settings.Timeouts),
+		newHTTPServer(d.listeners.Subcalls, subcalls, d.settings.Timeouts),
+		newHTTPServer(d.listeners.Operators, operators, d.settings.Timeouts),
 	}, nil
 }
 
-func newHTTPServer(handler http.Handler, timeouts settings.Timeouts) *http.Server {
-	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: timeouts.ReadHeader,
-		IdleTimeout:       timeouts.Idle,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
-}
-
 // stop refuses callers at once and other daemons once they could have heard, waits for what is in flight, returns unspent tokens and closes all sockets.
-func (d *Daemon) stop(servers []httpServer, stopLink func(), linkEnded <-chan struct{}) {
+func (d *Daemon) stop(servers []*httpServer, stopLink func(), linkEnded <-chan struct{}) {
 	d.record("daemon", "stopping")
 	d.logger.Info().Msg("daemon: stopping")
 	d.stopping.Store(true)
@@ -222,9 +198,7 @@
 	stopLink()
 	<-linkEnded
 	for _, server := range servers {
-		if server.Shutdown(ctx) != nil {
-			_ = server.Close()
-		}
+		server.stop(ctx)
 	}
 	_ = d.peers.Close()
 	_ = d.pool.Close()
--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -12,6 +13,7 @@
 	"os/signal"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -73,27 +75,63 @@
 	_ = p.command.Process.Signal(s)
 }
 
-// A cluster is a control instance with daemons as processes of their own.
-type cluster struct {
-	t         *testing.T
-	folder    string
+// A controlProcess is a control instance as a process.
+type controlProcess struct {
+	*process
 	peer      netip.AddrPort
 	operators netip.AddrPort
-	control   *process
 }
 
+// A cluster is control instances with daemons as processes of their own.
+type cluster struct {
+	t        *testing.T
+	folder   string
+	domain   string
+	control  *controlProcess
+	controls []*controlProcess
+}
+
+// lastPort counts the ports that were given to processes; they lie below the ephemeral ports, so that no connection
+// takes the port of a process that is down.
+var lastPort atomic.Uint32
+
 func freeAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
-	listener := listen(t)
-	defer func() { _ = listener.Close() }()
-	return addressOf(listener)
+	const first, runs, each = 10_000, 40, 240
+	for range each {
+		port := first + uint32(os.Getpid()%runs*each) + lastPort.Add(1)%each
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port))
+		if listener, err := net.Listen("tcp", address.String()); err == nil {
+			_ = listener.Close()
+			return address
+		}
+	}
+	t.Fatal("no free port")
+	return netip.AddrPort{}
 }
 
 func newCluster(t *testing.T, set configuration.Set) *cluster {
 	t.Helper()
-	c := &cluster{t: t, folder: t.TempDir(), peer: freeAddress(t), operators: freeAddress(t)}
-	path := c.write("control.toml", fmt.Sprintf(`
-name = "control-1"
+	return newClusterOf(t, 1, set)
+}
+
+// newClusterOf starts instances of control and publishes set.
+func newClusterOf(t *testing.T, instances int, set configuration.Set) *cluster {
+	t.Helper()
+	c := &cluster{t: t, folder: t.TempDir(), domain: "domain-1"}
+	var members strings.Builder
+	var operators []netip.AddrPort
+	for i := range instances {
+		one := &controlProcess{peer: freeAddress(t), operators: freeAddress(t)}
+		fmt.Fprintf(&members, "[[members]]\nname = \"control-%d\"\naddress = %q\n", i+1, one.peer)
+		operators = append(operators, one.operators)
+		c.controls = append(c.controls, one)
+	}
+	c.control = c.controls[0]
+	for i, one := range c.controls {
+		name := fmt.Sprintf("control-%d", i+1)
+		path := c.write(name+".toml", fmt.Sprintf(`
+name = %q
 cluster = "test"
 failure-domain = "domain-1"
 peer-listen = %q
@@ -101,12 +139,10 @@
 data-folder = %q
 election-timeout = "300ms"
 heartbeat = "50ms"
-[[members]]
-name = "control-1"
-address = %q
-`, c.peer, c.operators, filepath.Join(c.folder, "data"), c.peer))
-	c.control = startProcess(t, "control", path)
-	client := operator.NewClient([]netip.AddrPort{c.operators})
+%s`, name, one.peer, one.operators, filepath.Join(c.folder, name), members.String()))
+		one.process = startProcess(t, "control", path)
+	}
+	client := operator.NewClient(operators)
 	eventually(t, "publish", func() bool {
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
@@ -116,6 +152,23 @@
 	return c
 }
 
+// leader returns the control instance that leads.
+func (c *cluster) leader() *controlProcess {
+	c.t.Helper()
+	var leader *controlProcess
+	eventually(c.t, "a leader", func() bool {
+		for _, one := range c.controls {
+			client := operator.NewClient([]netip.AddrPort{one.operators}, operator.WithPatience(0), operator.WithTimeout(time.Second))
+			if _, err := client.Current(c.t.Context()); err == nil {
+				leader = one
+				return true
+			}
+		}
+		return false
+	})
+	return leader
+}
+
 func eventually(t *testing.T, what string, holds func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(2 * testBound); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
@@ -141,23 +194,28 @@
 	callers  netip.AddrPort
 	subcalls netip.AddrPort
 	ready    string
+	crash    func()
 }
 
 func (c *cluster) daemon(name string) *daemonProcess {
 	c.t.Helper()
 	d := &daemonProcess{callers: freeAddress(c.t), subcalls: freeAddress(c.t)}
 	operators := freeAddress(c.t)
+	var control []string
+	for _, one := range c.controls {
+		control = append(control, fmt.Sprintf("%q", one.peer))
+	}
 	d.ready = "http://" + operators.String() + "/operator/v1/health/ready"
 	path := c.write(name+".toml", fmt.Sprintf(`
 name = %q
 cluster = "test"
-failure-domain = "domain-1"
+failure-domain = %q
 callers-listen = %q
 peer-listen = %q
 subcalls-listen = %q
 operators-listen = %q
-control = [%q]
-`, name, d.callers, freeAddress(c.t), d.subcalls, operators, c.peer))
+control = [%s]
+`, name, c.domain, d.callers, freeAddress(c.t), d.subcalls, operators, strings.Join(control, ", ")))
 	d.process = startProcess(c.t, "daemon", path)
 	d.awaitReady()
 	return d
@@ -169,17 +227,24 @@
 
 // serve announces a backend server of service to the daemon until the end of the test.
 func (d *daemonProcess) serve(name, service string, handler http.HandlerFunc) {
+	d.t.Helper()
+	d.serveSlots(name, service, testSlots, handler)
+}
+
+// serveSlots is serve with slots; the returned function ends the backend server without a word.
+func (d *daemonProcess) serveSlots(name, service string, slots int, handler http.HandlerFunc) (crash func()) {
 	d.t.Helper()
 	listener := listen(d.t)
 	server := &http.Server{Handler: handler}
 	go func() { _ = server.Serve(listener) }()
 	ctx, cancel := context.WithCancel(context.Background())
-	d.t.Cleanup(func() {
+	crash = func() {
 		cancel()
 		_ = server.Close()
-	})
+	}
+	d.t.Cleanup(crash)
 	said, _ := json.Marshal(map[string]any{
-		"name": name, "service": service, "address": addressOf(listener), "slots": 64, "state": "ready",
+		"name": name, "service": service, "address": addressOf(listener), "slots": slots, "state": "ready",
 	})
 	go func() {
 		for ctx.Err() == nil {
@@ -190,6 +255,7 @@
 			time.Sleep(200 * time.Millisecond)
 		}
 	}()
+	return crash
 }
 
 // book sends a booking under an idempotency key, bounded by timeout.
--- /dev/null
+++ b/internal/daemon/surge_test.go
@@ -0,0 +1,254 @@
+package daemon_test
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"sapphirespread.example/configuration"
+)
+
+const (
+	surgeRate    = 40
+	surgeBurst   = 100
+	surgeFilled  = surgeBurst * time.Second / surgeRate
+	surgeSlots   = 2
+	surgePause   = 10 * time.Millisecond
+	surgeCallers = 48
+)
+
+// surgeSet gives one workspace a rate that a surge exceeds; the other one's exceeds what the backend servers can.
+func surgeSet() configuration.Set {
+	set := baseSet()
+	set.Limits = append(set.Limits, configuration.Limit{Name: "surge", Rate: surgeRate, Burst: surgeBurst})
+	set.Workspaces[0].Limit = "surge"
+	return set
+}
+
+// A surge sends more than the backend servers can run, and checks for each request what its answer promises.
+type surge struct {
+	t       *testing.T
+	runs    *runTable
+	started time.Time
+	stopped chan struct{}
+	senders sync.WaitGroup
+	mu      sync.Mutex
+	sent    []surgeRequest
+}
+
+// A surgeRequest is one request of a surge and what it got.
+type surgeRequest struct {
+	id        string
+	workspace string
+	booking   bool
+	at        time.Time
+	got       reply
+}
+
+func (s *surge) handle(w http.ResponseWriter, r *http.Request) {
+	s.runs.add(r.URL.RawQuery)
+	time.Sleep(surgePause)
+	_, _ = io.WriteString(w, "whole")
+}
+
+func newSurge(t *testing.T) *surge {
+	return &surge{t: t, runs: &runTable{runs: make(map[string]int)}, stopped: make(chan struct{})}
+}
+
+// start sends through the daemons in turn until stop.
+func (s *surge) start(entries ...*daemonProcess) {
+	s.started = time.Now()
+	for caller := range surgeCallers {
+		s.senders.Go(func() {
+			for number := 0; ; number++ {
+				select {
+				case <-s.stopped:
+					return
+				default:
+				}
+				one := surgeRequest{id: fmt.Sprintf("%d-%d", caller, number), workspace: []string{"club", "federation"}[caller%2], booking: number%2 == 1}
+				s.send(entries[(caller/2+number)%len(entries)], one)
+			}
+		})
+	}
+}
+
+func (s *surge) send(d *daemonProcess, one surgeRequest) {
+	path := "/courts/1?"
+	if one.booking {
+		path = "/bookings?"
+	}
+	request, _ := http.NewRequest(http.MethodPost, "http://"+d.callers.String()+path+one.id, strings.NewReader("court 3"))
+	request.Header.Set("Authorization", "Bearer "+secretOf(one.workspace))
+	if one.booking {
+		request.Header.Set("Idempotency-Key", "surge-"+one.id)
+	}
+	request.Close = true
+	one.got = send(request)
+	one.at = time.Now()
+	s.mu.Lock()
+	s.sent = append(s.sent, one)
+	s.mu.Unlock()
+	if one.got.status != http.StatusOK {
+		time.Sleep(surgePause)
+	}
+}
+
+// limited counts the whole answers to the workspace with a limit.
+func (s *surge) limited() (count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, one := range s.sent {
+		if one.got.status == http.StatusOK && one.workspace == "club" {
+			count++
+		}
+	}
+	return count
+}
+
+// recovers waits until requests of both kinds and workspaces are answered again and again, later than by grants
+// from before.
+func (s *surge) recovers() {
+	s.t.Helper()
+	const enough, grantsEnd = 15, time.Second
+	now := time.Now()
+	eventually(s.t, "the system serves again", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		kinds := make(map[string]int)
+		for _, one := range s.sent {
+			if one.got.status == http.StatusOK && one.at.After(now.Add(grantsEnd)) {
+				kinds[fmt.Sprint(one.workspace, one.booking)]++
+			}
+		}
+		least := enough
+		for _, workspace := range []string{"club", "federation"} {
+			least = min(least, kinds[fmt.Sprint(workspace, true)], kinds[fmt.Sprint(workspace, false)])
+		}
+		return least == enough
+	})
+}
+
+// stop ends the surge and checks its promises: no booking ran twice, what was refused as not run did not run, and
+// the workspace with a limit kept within its rate and burst.
+func (s *surge) stop() {
+	s.t.Helper()
+	close(s.stopped)
+	s.senders.Wait()
+	window := time.Since(s.started)
+	limited, notRun, answered := 0, 0, 0
+	for _, one := range s.sent {
+		ran := s.runs.of(one.id)
+		if one.booking && ran > 1 {
+			s.t.Errorf("%s: booking ran %d times", one.id, ran)
+		}
+		if one.got.header.Get(headerRunState) == "not-run" {
+			notRun++
+			if ran > 0 {
+				s.t.Errorf("%s: refused with %s as not run, and ran %d times", one.id, one.got.refusal(), ran)
+			}
+		}
+		if one.got.status == http.StatusOK {
+			answered++
+		}
+		if one.workspace == "club" && ran > 0 {
+			limited++
+		}
+	}
+	if bound := surgeBurst + surgeRate*window.Seconds(); float64(limited) > bound {
+		s.t.Errorf("%d requests of the limited workspace ran, rate and burst allow %.0f", limited, bound)
+	}
+	s.t.Logf("%d sent, %d answered, %d refused as not run, %d of the limited workspace ran in %s", len(s.sent), answered, notRun, limited, window)
+	if answered == 0 || limited < surgeBurst {
+		s.t.Error("there was no surge")
+	}
+}
+
+// cut returns the requests whose outcome is not known. A connection that the system had not handed over when its
+// listener closed is reset, as if it came later; its request has not run.
+func (s *surge) cut() (cut []surgeRequest) {
+	for _, one := range s.sent {
+		unaccepted := errors.Is(one.got.err, syscall.ECONNREFUSED) || errors.Is(one.got.err, syscall.ECONNRESET) && s.runs.of(one.id) == 0
+		if one.got.err != nil && !unaccepted || one.got.header.Get(headerRunState) == "unknown" {
+			cut = append(cut, one)
+		}
+	}
+	return cut
+}
+
+// surgeCluster starts two targets of each service, each with its daemon, and an entry for callers.
+func surgeCluster(t *testing.T, s *surge, controls int) (*cluster, []*daemonProcess) {
+	c := newClusterOf(t, controls, surgeSet())
+	var daemons []*daemonProcess
+	for i, domain := range []string{"domain-1", "domain-2"} {
+		c.domain = domain
+		for _, service := range []string{"courts", "bookings"} {
+			name := fmt.Sprintf("%s-%d", service, i+1)
+			d := c.daemon(name)
+			d.crash = d.serveSlots(name, service, surgeSlots, s.handle)
+			daemons = append(daemons, d)
+		}
+	}
+	for _, d := range daemons {
+		eventually(t, "answers", func() bool {
+			return d.book("warm-up", time.Second).status == http.StatusOK
+		})
+	}
+	return c, daemons
+}
+
+// TestPromisesHoldInASurgeWithASecondFault brings about a second fault in a surge.
+func TestPromisesHoldInASurgeWithASecondFault(t *testing.T) {
+	cases := []struct {
+		name     string
+		controls int
+		fault    func(t *testing.T, s *surge, c *cluster, daemons []*daemonProcess)
+		cutsNone bool
+	}{
+		{"leader lost", 3, func(_ *testing.T, _ *surge, c *cluster, _ []*daemonProcess) { c.leader().kill() }, false},
+		{"leader frozen while it grants", 3, func(_ *testing.T, s *surge, c *cluster, _ []*daemonProcess) {
+			frozen := c.leader()
+			frozen.signal(syscall.SIGSTOP)
+			defer frozen.signal(syscall.SIGCONT)
+			s.recovers()
+		}, false},
+		{"failure domain lost", 1, func(_ *testing.T, _ *surge, _ *cluster, daemons []*daemonProcess) {
+			for _, lost := range daemons[2:] {
+				lost.kill()
+				lost.crash()
+			}
+		}, false},
+		{"daemon stopped", 1, func(t *testing.T, _ *surge, _ *cluster, daemons []*daemonProcess) {
+			for _, leaving := range daemons[2:] {
+				leaving.signal(syscall.SIGTERM)
+			}
+			for _, leaving := range daemons[2:] {
+				if err := leaving.command.Wait(); err != nil {
+					t.Errorf("exit: %v", err)
+				}
+			}
+		}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSurge(t)
+			cluster, daemons := surgeCluster(t, s, c.controls)
+			time.Sleep(surgeFilled)
+			s.start(daemons...)
+			eventually(t, "the burst is spent", func() bool { return s.limited() > surgeBurst })
+			c.fault(t, s, cluster, daemons)
+			s.recovers()
+			s.stop()
+			if cut := s.cut(); c.cutsNone && len(cut) > 0 {
+				t.Errorf("%d requests were cut, the first %s: %+v, %v, %d runs", len(cut), cut[0].id, cut[0].got, cut[0].got.err, s.runs.of(cut[0].id))
+			}
+		})
+	}
+}
