Hold a crash's request until control knows of the crash

Cause: a report of suspects that a frozen leader took was lost with its session, and the daemon that called the crashed backend server relied on the register alone. A request resent at one daemon crashed three backend servers while the leader was frozen. Ruled out: a killed leader; its report waits in the queue for the next session. Change: a daemon repeats a report until control has spread it, for a minute; a crash counts once by its name. The calling daemon quarantines the request for ten seconds or until the register tells of it.

--- a/internal/daemon/crash.go
+++ b/internal/daemon/crash.go
@@ -7,11 +7,15 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"sapphirespread.example/quarantine"
 )
 
 const (
 	crashProbeTimeout  = 200 * time.Millisecond
 	suspectSpreadBound = time.Second
+	suspectReportBound = time.Minute
+	suspectHold        = 10 * time.Second
 )
 
 // probeCrash dials the backend server after a connection failed, and reports whether it is gone.
@@ -65,7 +69,30 @@
 	d.counters.crashes.Add(1)
 	d.record("crash", fmt.Sprintf("backend server %s crashed with %d requests in flight", name, len(suspects)))
 	d.logger.Error().Str("target", name).Int("suspects", len(suspects)).Msg("daemon: backend server crashed")
+	if !d.spreadSuspects(crash, name, suspects) {
+		go d.spreadLate(crash, name, suspects)
+	}
+}
+
+// spreadSuspects reports once, and reports whether control has spread the suspects within the bound.
+func (d *Daemon) spreadSuspects(crash, name string, suspects []quarantine.Fingerprint) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), suspectSpreadBound)
 	defer cancel()
-	d.link.reportSuspects(ctx, crash, name, suspects)
+	return d.link.reportSuspects(ctx, crash, name, suspects)
+}
+
+// spreadLate repeats a report that a lost leader may have taken with it; a crash counts once.
+func (d *Daemon) spreadLate(crash, name string, suspects []quarantine.Fingerprint) {
+	for until := time.Now().Add(suspectReportBound); time.Now().Before(until) && !d.stopping.Load(); {
+		if d.spreadSuspects(crash, name, suspects) {
+			return
+		}
+		time.Sleep(reconnectSpread)
+	}
+}
+
+// holdCrasher refuses the request of c here until the register knows of the crash that it saw.
+func (d *Daemon) holdCrasher(c *call) {
+	now := time.Now()
+	d.quarantine.Hold(now, c.fingerprint, now.Add(suspectHold))
 }
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -26,6 +26,9 @@
 		if failed == nil {
 			return answer, nil
 		}
+		if failed.crashed != "" {
+			d.holdCrasher(c)
+		}
 		if !d.mayRetry(ctx, c, failed) {
 			return nil, failed
 		}
--- a/internal/daemon/linkanswers.go
+++ b/internal/daemon/linkanswers.go
@@ -108,17 +108,20 @@
 	l.enqueue(&peerpb.DaemonMessage{Body: &peerpb.DaemonMessage_ClaimRelease{ClaimRelease: release}})
 }
 
-// reportSuspects returns once the suspects of a crash have been sent to all daemons, or ctx ends.
-func (l *link) reportSuspects(ctx context.Context, crash, target string, suspects []quarantine.Fingerprint) {
+// reportSuspects returns once the suspects of a crash have been sent to all daemons, or ctx ends, and reports whether
+// they have.
+func (l *link) reportSuspects(ctx context.Context, crash, target string, suspects []quarantine.Fingerprint) bool {
 	id := l.nextID.Add(1)
 	report := &peerpb.Suspects{Id: id, Crash: crash, Target: target}
 	for _, fingerprint := range suspects {
 		report.Fingerprints = append(report.Fingerprints, fingerprint[:])
 	}
 	message := &peerpb.DaemonMessage{Body: &peerpb.DaemonMessage_Suspects{Suspects: report}}
-	if _, err := l.exchange(ctx, id, message); err != nil {
+	_, err := l.exchange(ctx, id, message)
+	if err != nil {
 		l.daemon.logger.Warn().Err(err).Str("target", target).Msg("link: suspects not spread in time")
 	}
+	return err == nil
 }
 
 // reportRan reports that a suspect ran to its end at target.
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -19,6 +19,7 @@
 type listShard struct {
 	mu      sync.RWMutex
 	entries map[Fingerprint]listEntry
+	own     map[Fingerprint]time.Time // until when, where the register may not know yet
 }
 
 type listEntry struct {
@@ -31,6 +32,7 @@
 	l := &List{}
 	for i := range l.shards {
 		l.shards[i].entries = make(map[Fingerprint]listEntry)
+		l.shards[i].own = make(map[Fingerprint]time.Time)
 	}
 	return l
 }
@@ -77,11 +79,43 @@
 	s := l.shard(fp)
 	s.mu.RLock()
 	e, held := s.entries[fp]
+	until, own := s.own[fp]
 	s.mu.RUnlock()
-	if !held || !now.Before(e.until) {
+	switch {
+	case held && now.Before(e.until):
+		return e.state
+	case own && now.Before(until):
+		return Quarantined
+	default:
 		return Clear
 	}
-	return e.state
+}
+
+// Hold quarantines a fingerprint that crashed a target until then, or until the register tells of it.
+func (l *List) Hold(now time.Time, fp Fingerprint, until time.Time) {
+	s := l.shard(fp)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, told := s.entries[fp]; told {
+		return
+	}
+	for other, ends := range s.own {
+		if !now.Before(ends) {
+			l.release(s, other)
+		}
+	}
+	if _, held := s.own[fp]; !held {
+		l.held.Add(1)
+	}
+	s.own[fp] = until
+}
+
+// release drops what is held without the register; the shard is locked.
+func (l *List) release(s *listShard, fp Fingerprint) {
+	if _, held := s.own[fp]; held {
+		l.held.Add(-1)
+		delete(s.own, fp)
+	}
 }
 
 func (l *List) keepOnly(entries []Entry) {
@@ -115,6 +149,7 @@
 	if _, held := s.entries[e.Fingerprint]; !held {
 		l.held.Add(1)
 	}
+	l.release(s, e.Fingerprint)
 	s.entries[e.Fingerprint] = listEntry{state: e.State, until: e.Until}
 }
 
@@ -126,6 +161,7 @@
 		l.held.Add(-1)
 		delete(s.entries, fp)
 	}
+	l.release(s, fp)
 }
 
 func (l *List) shard(fp Fingerprint) *listShard {
