--- a/internal/control/process_test.go
+++ b/internal/control/process_test.go
@@ -267,6 +267,18 @@
 	p.start(leader)
 	p.waitForAll()
 
+	for _, delay := range []time.Duration{0, 3 * time.Millisecond, 10 * time.Millisecond} {
+		leader, _ = p.split()
+		stopping := leader
+		time.AfterFunc(delay, func() { p.signal(stopping, syscall.SIGTERM) })
+		p.publish(10)
+		if err := leader.command.Wait(); err != nil {
+			t.Errorf("stop during publications: %v", err)
+		}
+		p.start(leader)
+		p.waitForAll()
+	}
+
 	for _, one := range p.all {
 		p.kill(one)
 	}
