Notice a caller that leaves while its body waits for a slot

Cause: the frames of a call from another daemon were written to a pipe that nobody reads while the call waits in the queue of the admission, so the end of the stream was not seen and a request ran whose caller had left. Ruled out: a sign of yamux; it tells the end of a stream only to who reads its content.

--- a/internal/daemon/callreader.go
+++ b/internal/daemon/callreader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 
 	"sapphirespread.example/internal/message"
 	"sapphirespread.example/internal/peer"
@@ -84,12 +85,12 @@
 	}
 	trailer := message.DecodeHeader(said.GetTrailers())
 	s.trailer.Store(&trailer)
-	_ = s.body.Close()
+	s.body.end(io.EOF)
 }
 
 // cut breaks the request's body off.
 func (s *servedCall) cut(err error) {
 	if s.body != nil {
-		_ = s.body.CloseWithError(err)
+		s.body.end(err)
 	}
 }
--- a/internal/daemon/path_test.go
+++ b/internal/daemon/path_test.go
@@ -204,6 +204,44 @@
 	<-cancelled
 }
 
+// TestCallerThatLeavesTheQueueNeverRuns leaves with a body of a call that waits for a slot at another daemon.
+func TestCallerThatLeavesTheQueueNeverRuns(t *testing.T) {
+	f := newFleet(t)
+	f.publish(baseSet())
+	release, started := make(chan struct{}), make(chan string, 8)
+	f.backendOf("courts-1", "courts", 2, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/courts/fast" {
+			started <- r.URL.Path
+			<-release
+		}
+	})
+	entry, _, _ := f.daemon("entry")
+	f.eventually("an answer", func() bool {
+		return ask(entry, http.MethodGet, "/courts/fast", "club", "").status == http.StatusOK
+	})
+	held := make(chan reply, 2)
+	for range cap(held) {
+		go func() { held <- ask(entry, http.MethodGet, "/courts/held", "club", "") }()
+		<-started
+	}
+	ctx, leave := context.WithCancel(t.Context())
+	request, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry.CallersAddress().String()+"/courts/left", strings.NewReader(strings.Repeat("b", 60_000)))
+	request.Header.Set("Authorization", "Bearer "+secretOf("club"))
+	time.AfterFunc(500*time.Millisecond, leave)
+	send(request)
+	time.Sleep(500 * time.Millisecond)
+	close(release)
+	for range cap(held) {
+		<-held
+	}
+	if got := ask(entry, http.MethodGet, "/courts/after", "club", ""); got.status != http.StatusOK {
+		t.Errorf("after: %d %s", got.status, got.refusal())
+	}
+	if path := <-started; path != "/courts/after" {
+		t.Errorf("%s ran, whose caller had left", path)
+	}
+}
+
 func TestAnswerCutShortIsNeverEndedAsWhole(t *testing.T) {
 	f := newFleet(t)
 	f.publish(baseSet())
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -58,7 +58,7 @@
 	report   callReport
 	target   string
 	starts   uint64
-	body     *io.PipeWriter
+	body     *bodyQueue
 	trailer  atomic.Pointer[http.Header]
 	received uint64
 	cancel   context.CancelFunc
@@ -79,9 +79,8 @@
 		s.call.body = newKeptBody(nil, nil)
 		return s
 	}
-	reader, writer := io.Pipe()
-	s.body = writer
-	s.call.body = newStreamedBody(reader, s.trailers)
+	s.body = newBodyQueue()
+	s.call.body = newStreamedBody(s.body, s.trailers)
 	return s
 }
 
@@ -101,7 +100,7 @@
 	defer close(s.done)
 	defer s.cancel()
 	if s.body != nil {
-		defer func() { _ = s.body.CloseWithError(io.ErrClosedPipe) }()
+		defer s.body.end(io.ErrClosedPipe)
 	}
 	done := func(report callReport) { s.report = report }
 	answer, refused := s.daemon.runLocal(ctx, s.call, s.target, s.starts, done)
