--- a/internal/daemon/decisions.go
+++ b/internal/daemon/decisions.go
@@ -63,6 +63,7 @@
 	Reset()
 	Version() uint64
 	Verdict(now time.Time, fp quarantine.Fingerprint) quarantine.State
+	Hold(now time.Time, fp quarantine.Fingerprint, until time.Time)
 }
 
 // A watch is a quarantine.Watch, or one that is recorded.
--- a/internal/daemon/deeper_test.go
+++ b/internal/daemon/deeper_test.go
@@ -14,8 +14,7 @@
 func TestDeepOverloadIsRefusedAtTheEntry(t *testing.T) {
 	f := newFleet(t)
 	f.publish(baseSet())
-	charges := f.backend("charges-1", "charges", func(http.ResponseWriter, *http.Request) { time.Sleep(20 * time.Millisecond) })
-	charges.slots.Store(2)
+	f.backendOf("charges-1", "charges", 2, func(http.ResponseWriter, *http.Request) { time.Sleep(20 * time.Millisecond) })
 	var ran sync.Map
 	var bookings *backendServer
 	bookings = f.backend("bookings-1", "bookings", func(w http.ResponseWriter, r *http.Request) {
--- a/internal/trace/quarantine.go
+++ b/internal/trace/quarantine.go
@@ -85,6 +85,14 @@
 	}).State
 }
 
+// Hold records that a fingerprint is held until then.
+func (q *Quarantine) Hold(now time.Time, fp quarantine.Fingerprint, until time.Time) {
+	q.stream.do(func() QuarantineStep {
+		q.list.Hold(now, fp, until)
+		return QuarantineStep{At: now.Sub(q.start), Call: HoldList, Fingerprint: q.fingerprints.of(fp), Until: offset(q.start, until)}
+	})
+}
+
 // Start records a run.
 func (q *Quarantine) Start(fp quarantine.Fingerprint) quarantine.Run {
 	return q.startRun(time.Now(), fp)
--- a/internal/trace/quarantinestep.go
+++ b/internal/trace/quarantinestep.go
@@ -16,6 +16,7 @@
 	ApplyList  QuarantineCall = "apply"
 	ResetList  QuarantineCall = "reset"
 	Verdict    QuarantineCall = "verdict"
+	HoldList   QuarantineCall = "hold"
 	StartRun   QuarantineCall = "start"
 	EndRun     QuarantineCall = "end"
 	CrashWatch QuarantineCall = "crash"
@@ -27,6 +28,7 @@
 	At          time.Duration     `json:"at"`
 	Call        QuarantineCall    `json:"call"`
 	Fingerprint uint64            `json:"fingerprint,omitempty"`
+	Until       time.Duration     `json:"until,omitempty"`
 	Run         uint64            `json:"run,omitempty"`
 	Version     uint64            `json:"version,omitempty"`
 	Whole       bool              `json:"whole,omitempty"`
@@ -78,6 +80,8 @@
 		q.reset(now)
 	case Verdict:
 		q.Verdict(now, numbered(s.Fingerprint))
+	case HoldList:
+		q.Hold(now, numbered(s.Fingerprint), instant(q.start, s.Until))
 	case StartRun:
 		runs[s.Run] = q.startRun(now, numbered(s.Fingerprint))
 	case EndRun:
--- a/quarantine/recorded_test.go
+++ b/quarantine/recorded_test.go
@@ -22,7 +22,7 @@
 				d.Fatalf(t, "%v", err)
 			}
 			replayed := trace.ReplayQuarantine(start, steps)
-			j := recordedJudge{t: t, held: make(map[uint64]trace.QuarantineEntry), running: make(map[uint64][]uint64)}
+			j := recordedJudge{t: t, held: make(map[uint64]trace.QuarantineEntry), own: make(map[uint64]time.Duration), running: make(map[uint64][]uint64)}
 			for _, step := range replayed {
 				j.take(step)
 			}
@@ -36,7 +36,8 @@
 	t       *testing.T
 	version uint64
 	held    map[uint64]trace.QuarantineEntry
-	running map[uint64][]uint64 // fingerprints in flight by their runs
+	own     map[uint64]time.Duration // held here until then, or until the register tells
+	running map[uint64][]uint64      // fingerprints in flight by their runs
 }
 
 func (j *recordedJudge) take(step trace.QuarantineStep) {
@@ -47,6 +48,10 @@
 		j.version = 0
 	case trace.Verdict:
 		j.verdict(step)
+	case trace.HoldList:
+		if _, told := j.held[step.Fingerprint]; !told {
+			j.own[step.Fingerprint] = step.Until
+		}
 	case trace.StartRun:
 		j.running[step.Run] = append(j.running[step.Run], step.Fingerprint)
 	case trace.EndRun:
@@ -66,15 +71,20 @@
 	}
 	for _, entry := range step.Entries {
 		j.held[entry.Fingerprint] = entry
+		delete(j.own, entry.Fingerprint)
 	}
 	for _, cleared := range step.Cleared {
 		delete(j.held, cleared)
+		delete(j.own, cleared)
 	}
 }
 
 // verdict checks that what was spread holds until its end, and nothing else.
 func (j *recordedJudge) verdict(step trace.QuarantineStep) {
 	want := quarantine.Clear
+	if until, held := j.own[step.Fingerprint]; held && step.At < until {
+		want = quarantine.Quarantined
+	}
 	if entry, held := j.held[step.Fingerprint]; held && step.At < entry.Until {
 		want = entry.State
 	}
