Test nested answers by hash, and that logs, metrics and time line hold no key

Cause: the promise on whole answers was shown without sub-calls, and the one on keys for what a backend server sees alone. Change: two thousand whole requests at once through a service that calls another, each answer checked by the hash of its own request; the log, the metrics and the time line of a daemon searched for the keys of calls that passed and of one that was refused.

--- a/internal/daemon/faults_test.go
+++ b/internal/daemon/faults_test.go
@@ -162,6 +162,53 @@
 	}
 }
 
+// TestNestedAnswersAreEachTheirOwn sends two thousand whole requests at once through a service that calls another,
+// and checks by hash that each gets what its own nested call answered.
+func TestNestedAnswersAreEachTheirOwn(t *testing.T) {
+	f := newFleet(t)
+	f.publish(baseSet())
+	inner := &faultyServer{runs: &runTable{runs: make(map[string]int)}}
+	for i := range 2 {
+		f.backendOf(fmt.Sprintf("courts-%d", i), "courts", 512, inner.handle)
+	}
+	var outer *backendServer
+	outer = f.backendOf("charges-1", "charges", 512, func(w http.ResponseWriter, r *http.Request) {
+		nested, _ := http.NewRequestWithContext(r.Context(), http.MethodPost,
+			"http://"+outer.daemon.SubcallsAddress().String()+"/courts/1?"+r.URL.RawQuery, r.Body)
+		nested.Header.Set("Sapphirespread-Call-Token", r.Header.Get("Sapphirespread-Call-Token"))
+		got := send(nested)
+		w.WriteHeader(got.status)
+		_, _ = io.WriteString(w, got.body)
+	})
+	entry, _, _ := f.daemon("entry")
+	f.eventually("an answer", func() bool {
+		return ask(entry, http.MethodPost, "/charges?warm", "club", "", "Idempotency-Key", "warm").status == http.StatusOK
+	})
+	const callers, calls = 40, 50
+	var whole atomic.Int64
+	var senders sync.WaitGroup
+	for caller := range callers {
+		senders.Go(func() {
+			for number := range calls {
+				id := fmt.Sprintf("%d-%d", caller, number)
+				body := strings.Repeat("b", (caller*7919+number*104729)%20_000)
+				got := ask(entry, http.MethodPost, "/charges?"+id, "club", body, "Idempotency-Key", "key-"+id)
+				if got.err != nil || got.status != http.StatusOK {
+					continue
+				}
+				whole.Add(1)
+				if got.body != answerTo(id, body) {
+					t.Errorf("%s: an answer of %d bytes that is not its own", id, len(got.body))
+				}
+			}
+		})
+	}
+	senders.Wait()
+	if whole.Load() < callers*calls/2 {
+		t.Errorf("%d of %d answered whole", whole.Load(), callers*calls)
+	}
+}
+
 // TestRollingRestartCutsNoRequest restarts one instance after another under load: daemon and backend server leave,
 // and come back under the same name.
 func TestRollingRestartCutsNoRequest(t *testing.T) {
--- a/internal/daemon/path_test.go
+++ b/internal/daemon/path_test.go
@@ -113,6 +113,33 @@
 			}
 		}
 	}
+	if got := ask(served.daemon, http.MethodGet, "/courts/1", "", "", "Authorization", "Bearer "+secretOf("nobody")); got.refusal() != "key-unknown" {
+		t.Errorf("unknown key: %d %s", got.status, got.refusal())
+	}
+	for name, text := range map[string]string{
+		"the log":       f.logs.String(),
+		"the metrics":   read(t, served.daemon, "/metrics"),
+		"the time line": read(t, served.daemon, "/operator/v1/timeline"),
+	} {
+		if strings.Contains(text, secretOf("club")) || strings.Contains(text, secretOf("nobody")) {
+			t.Errorf("%s holds a key:\n%s", name, text)
+		}
+	}
+}
+
+// read returns what the operators' listener of d answers.
+func read(t *testing.T, d *daemon.Daemon, path string) string {
+	t.Helper()
+	response, err := http.Get("http://" + d.OperatorsAddress().String() + path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	if err != nil || response.StatusCode != http.StatusOK || len(content) == 0 {
+		t.Fatalf("%s: %d, %v, %q", path, response.StatusCode, err, content)
+	}
+	return string(content)
 }
 
 func TestSubcallsContinueTheWholeRequest(t *testing.T) {
