Let requests that are shed before they are sent cost no token

Cause: a request took a token of its workspace before the level of its target, or of one below, shed it.

Ruled out: slower refusals (they held slots instead).

Change: the daemon that a caller reaches looks at the levels first.

--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -52,6 +52,15 @@
 	}
 }
 
+// shed refuses c where it would be shed before it was sent; it costs its workspace no token then.
+func (d *Daemon) shed(c *call) *attemptError {
+	_, refused := d.choose(c, nil)
+	if refused != nil && refused.kind == refusal.Overloaded {
+		return refused
+	}
+	return nil
+}
+
 func (d *Daemon) choose(c *call, tried []string) (target.Choice, *attemptError) {
 	now := time.Now()
 	below := d.deeper.shareShed(now, c)
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -34,8 +34,8 @@
 		return
 	}
 	d.serveRequest(w, r, c, func(ctx context.Context) *attemptError {
-		if c.workspace == "" {
-			return nil
+		if refused := d.shed(c); refused != nil || c.workspace == "" {
+			return refused
 		}
 		return d.tokenWait.spend(ctx, c.workspace)
 	})
--- a/internal/daemon/path_test.go
+++ b/internal/daemon/path_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"sapphirespread.example/configuration"
+	"sapphirespread.example/internal/daemon"
 )
 
 // echo answers with a hash of the request's body and the body itself.
