Work out the origin of a call once a choice

The choice of a target hashed the whole request's id up to three times, and the daemon's interface of an admission named a method that it no longer calls. Behaviour is the same; vet, gofumpt and the daemon's tests of deep overload, attempts and serving pass.

--- a/internal/daemon/decisions.go
+++ b/internal/daemon/decisions.go
@@ -20,7 +20,6 @@
 	Announce(now time.Time, slots int)
 	Level(now time.Time) priority.Level
 	Stats(now time.Time) priority.Stats
-	ServiceTime(now time.Time, route string) time.Duration
 }
 
 // A table is a target.Table, or one that is recorded.
--- a/internal/daemon/deeper.go
+++ b/internal/daemon/deeper.go
@@ -37,11 +37,6 @@
 	return level.(*priority.Level)
 }
 
-// shareShed returns the share of requests like c that the services below the one that c is sent to shed.
-func (d *deeper) shareShed(now time.Time, c *call) float64 {
-	return d.below(c.callee()).ShareAt(now, c.origin())
-}
-
 // answered takes the deeper calls of a run that was answered well.
 func (d *deeper) answered(c *call) {
 	d.mu.Lock()
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -63,14 +63,15 @@
 
 func (d *Daemon) choose(c *call, tried []string) (target.Choice, *attemptError) {
 	now := time.Now()
-	below := d.deeper.shareShed(now, c)
-	if c.origin().ShedBy(below) {
+	origin := c.origin()
+	below := d.deeper.below(c.callee()).ShareAt(now, origin)
+	if origin.ShedBy(below) {
 		return target.Choice{}, refuse(refusal.Overloaded, "a deeper service sheds it")
 	}
 	c.shed = max(c.shed, below)
-	chosen, found, shed := d.chooser.Choose(now, rand.Uint64(), c.service, c.origin(), tried)
+	chosen, found, shed := d.chooser.Choose(now, rand.Uint64(), c.service, origin, tried)
 	if !found && len(tried) > 0 && !shed {
-		chosen, found, shed = d.chooser.Choose(now, rand.Uint64(), c.service, c.origin(), nil)
+		chosen, found, shed = d.chooser.Choose(now, rand.Uint64(), c.service, origin, nil)
 	}
 	if shed {
 		return chosen, refuse(refusal.Overloaded, "shed before it was sent")
