Tell the leader where a member that only a follower hears has moved

Cause: the member's pre-vote requests reach a follower, which keeps its leader and drops them; the leader knows neither the new address from the log nor from its settings, so neither finds the other. Ruled out: a lost vote (a leader was there at once), a slow disk (nothing was written).

--- a/replica/election.go
+++ b/replica/election.go
@@ -62,6 +62,7 @@
 
 func (r *Replica) stepVoteRequest(now time.Time, m Message, request VoteRequest) {
 	if r.keepsLeader(now) && !request.Transfer {
+		r.tellLeader(m, request)
 		return
 	}
 	if m.Term < r.hard.Term {
@@ -84,6 +85,16 @@
 	r.answer(m, VoteAnswer{Granted: granted})
 }
 
+// tellLeader passes on the question of a member that does not hear the leader, so that the leader learns where it is.
+func (r *Replica) tellLeader(m Message, request VoteRequest) {
+	leader, known := r.Members().Find(r.leader)
+	if !request.PreVote || !known || r.phase != Follower || m.From == r.leader {
+		return
+	}
+	m.To = leader.ID
+	r.messages = append(r.messages, Outbound{Address: r.addressOf(leader), Message: m})
+}
+
 // answerPreVote carries the asked term where the vote would be given, and the own term otherwise.
 func (r *Replica) answerPreVote(m Message, granted bool) {
 	term := r.hard.Term
