--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"sapphirespread.example/configuration"
+	"sapphirespread.example/internal/membership/target"
 	"sapphirespread.example/limit"
-	"sapphirespread.example/target"
 )
 
 const (
--- a/internal/daemon/announce.go
+++ b/internal/daemon/announce.go
@@ -5,8 +5,8 @@
 	"net/http"
 	"time"
 
+	"sapphirespread.example/internal/membership/target"
 	"sapphirespread.example/refusal"
-	"sapphirespread.example/target"
 )
 
 const (
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"sapphirespread.example/target"
+	"sapphirespread.example/internal/membership/target"
 )
 
 const (
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,11 +14,11 @@
 	"golang.org/x/sync/errgroup"
 
 	"sapphirespread.example/configuration"
+	"sapphirespread.example/internal/membership/target"
 	"sapphirespread.example/internal/peer"
 	"sapphirespread.example/internal/settings"
 	"sapphirespread.example/internal/trace"
 	"sapphirespread.example/retry"
-	"sapphirespread.example/target"
 	"sapphirespread.example/timeline"
 )
 
--- a/internal/daemon/decisions.go
+++ b/internal/daemon/decisions.go
@@ -3,11 +3,11 @@
 import (
 	"time"
 
+	"sapphirespread.example/internal/membership/target"
 	"sapphirespread.example/internal/trace"
 	"sapphirespread.example/limit"
 	"sapphirespread.example/priority"
 	"sapphirespread.example/quarantine"
-	"sapphirespread.example/target"
 )
 
 // An admission is a priority.Admission, or one that is recorded.
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -7,9 +7,9 @@
 	"sync"
 	"time"
 
+	"sapphirespread.example/internal/membership/target"
 	"sapphirespread.example/refusal"
 	"sapphirespread.example/retry"
-	"sapphirespread.example/target"
 )
 
 const membershipWaitBound = time.Second
--- a/internal/daemon/linkreceive.go
+++ b/internal/daemon/linkreceive.go
@@ -5,10 +5,10 @@
 	"time"
 
 	"sapphirespread.example/configuration"
+	"sapphirespread.example/internal/membership/target"
 	"sapphirespread.example/internal/message"
 	"sapphirespread.example/internal/peer/peerpb"
 	"sapphirespread.example/quarantine"
-	"sapphirespread.example/target"
 )
 
 // receiveAll takes what control sends until the stream ends.
--- a/internal/daemon/linksession.go
+++ b/internal/daemon/linksession.go
@@ -10,10 +10,10 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"sapphirespread.example/internal/membership/target"
 	"sapphirespread.example/internal/message"
 	"sapphirespread.example/internal/peer"
 	"sapphirespread.example/internal/peer/peerpb"
-	"sapphirespread.example/target"
 )
 
 const (
--- a/internal/daemon/remote.go
+++ b/internal/daemon/remote.go
@@ -9,11 +9,11 @@
 	"sync/atomic"
 	"time"
 
+	"sapphirespread.example/internal/membership/target"
 	"sapphirespread.example/internal/message"
 	"sapphirespread.example/internal/peer"
 	"sapphirespread.example/internal/peer/peerpb"
 	"sapphirespread.example/refusal"
-	"sapphirespread.example/target"
 )
 
 const frameDataBytes = 32 << 10
--- a/target/chooser_test.go
+++ b/internal/membership/target/chooser_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
+	"sapphirespread.example/internal/membership/target"
 	"sapphirespread.example/priority"
-	"sapphirespread.example/target"
 )
 
 func fleet(t testing.TB, domains ...string) (*target.Table, *target.Chooser) {
--- a/target/membership_bench_test.go
+++ b/internal/membership/target/membership_bench_test.go
@@ -8,9 +8,9 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"sapphirespread.example/internal/membership/target"
 	"sapphirespread.example/internal/peer/peerpb"
 	"sapphirespread.example/priority"
-	"sapphirespread.example/target"
 )
 
 const (
--- a/target/recorded_test.go
+++ b/internal/membership/target/recorded_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"sapphirespread.example/internal/membership/target"
 	"sapphirespread.example/internal/trace"
-	"sapphirespread.example/target"
 )
 
 const (
--- a/target/registry_test.go
+++ b/internal/membership/target/registry_test.go
@@ -8,7 +8,7 @@
 	"github.com/joomcode/errorx"
 	"pgregory.net/rapid"
 
-	"sapphirespread.example/target"
+	"sapphirespread.example/internal/membership/target"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/internal/message/message_test.go
+++ b/internal/message/message_test.go
@@ -10,9 +10,9 @@
 	"pgregory.net/rapid"
 
 	"sapphirespread.example/claim"
+	"sapphirespread.example/internal/membership/target"
 	"sapphirespread.example/internal/message"
 	"sapphirespread.example/internal/peer/peerpb"
-	"sapphirespread.example/target"
 )
 
 // anyBytes draws header values as callers may send them, in any encoding.
--- a/internal/message/target.go
+++ b/internal/message/target.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"net/netip"
 
+	"sapphirespread.example/internal/membership/target"
 	"sapphirespread.example/internal/peer/peerpb"
-	"sapphirespread.example/target"
 )
 
 // EncodeTarget returns the message of a target.
--- a/internal/trace/recorder.go
+++ b/internal/trace/recorder.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
+	"sapphirespread.example/internal/membership/target"
 	"sapphirespread.example/limit"
 	"sapphirespread.example/priority"
 	"sapphirespread.example/quarantine"
-	"sapphirespread.example/target"
 )
 
 // DefaultBound is how many steps of each decision package a recorder keeps.
--- a/internal/trace/targetchange.go
+++ b/internal/trace/targetchange.go
@@ -1,6 +1,6 @@
 package trace
 
-import "sapphirespread.example/target"
+import "sapphirespread.example/internal/membership/target"
 
 // A TargetChange is a target.Change without the address, which plays no part in a choice.
 type TargetChange struct {
--- a/internal/trace/targets.go
+++ b/internal/trace/targets.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
+	"sapphirespread.example/internal/membership/target"
 	"sapphirespread.example/priority"
-	"sapphirespread.example/target"
 )
 
 // A Targets records the calls of a target.Table and its target.Chooser, one after the other.
--- a/internal/trace/targetstep.go
+++ b/internal/trace/targetstep.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"time"
 
+	"sapphirespread.example/internal/membership/target"
 	"sapphirespread.example/priority"
-	"sapphirespread.example/target"
 )
 
 // A TargetCall is what a table or a chooser of targets was asked.
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -6,10 +6,10 @@
 	"testing"
 	"time"
 
+	"sapphirespread.example/internal/membership/target"
 	"sapphirespread.example/internal/trace"
 	"sapphirespread.example/limit"
 	"sapphirespread.example/priority"
-	"sapphirespread.example/target"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
