Publish documents of another system, split routes, and let control admit and retire its members

A set may carry the document that it was made from, numbered by its author; a publish with one builds on that version. Routes may be split by weight, have an objective, and run unclaimed. Workspaces may have a priority.

Open membership: the leader admits replicas that announce themselves and takes silent voters out beyond the wanted size.

--- a/configuration/checkobject.go
+++ b/configuration/checkobject.go
@@ -20,6 +20,7 @@
 	maxExtraAttempts = 10
 	maxDeadline      = 10 * time.Minute
 	maxPathLength    = 1024
+	maxWeight        = 1_000_000
 )
 
 var (
@@ -30,6 +31,9 @@
 func (c *checker) workspace(w Workspace) {
 	o := Object(w)
 	c.reference(o, "limit", KindLimit, w.Limit)
+	if w.Priority != "" {
+		c.reference(o, "priority", KindPriority, w.Priority)
+	}
 	c.expect(inRange(w.Share, math.SmallestNonzeroFloat64, maxShare), o, "share", w.Share, "a number above 0, at most 1000")
 }
 
@@ -72,7 +76,7 @@
 
 func (c *checker) route(r Route) {
 	o := Object(r)
-	c.reference(o, "service", KindService, r.Service)
+	c.services(o, r)
 	c.reference(o, "priority", KindPriority, r.Priority)
 	for _, name := range r.Workspaces {
 		c.reference(o, "workspaces", KindWorkspace, name)
@@ -81,10 +85,32 @@
 	c.requests(o, r)
 	c.expect(r.Deadline > 0 && r.Deadline <= maxDeadline, o, "deadline", r.Deadline, `a duration above 0, at most "10m"`)
 	c.expect(r.ExtraAttempts >= 0 && r.ExtraAttempts <= maxExtraAttempts, o, "extra-attempts", r.ExtraAttempts, "a whole number from 0 to 10")
-	c.expect(!r.Open || r.Repeatable, o, "open", r.Open, "repeatable = true beside it: claims need a workspace, and an open route has none")
+	c.expect(r.Objective >= 0 && r.Objective <= maxDeadline, o, "objective", r.Objective, `a duration from 0 to "10m"`)
+	c.expect(!r.Open || r.Repeatable || r.Unclaimed, o, "open", r.Open,
+		"repeatable = true or unclaimed = true beside it: claims need a workspace, and an open route has none")
+	c.expect(!r.Unclaimed || !r.Repeatable, o, "unclaimed", r.Unclaimed, "repeatable = false beside it: a repeatable request has no claim")
 	c.expect(!r.Open || len(r.Workspaces) == 0, o, "workspaces", r.Workspaces, "no workspaces on an open route")
 }
 
+// services checks where the route sends its requests.
+func (c *checker) services(o Object, r Route) {
+	if len(r.Split) == 0 {
+		c.reference(o, "service", KindService, r.Service)
+		return
+	}
+	c.expect(r.Service == "", o, "service", r.Service, "nothing beside split")
+	var total float64
+	var names []string
+	for _, part := range r.Split {
+		c.reference(o, "split.service", KindService, part.Service)
+		c.expect(inRange(part.Weight, 0, maxWeight), o, "split.weight", part.Weight, "a number from 0 to 1000000")
+		total += part.Weight
+		names = append(names, part.Service)
+	}
+	c.expect(total > 0, o, "split.weight", total, "weights of which one is above 0")
+	c.expect(!hasDuplicate(names), o, "split.service", names, "each service once")
+}
+
 // requests checks which requests the route matches.
 func (c *checker) requests(o Object, r Route) {
 	c.expect(r.Host == "" || hostPattern.MatchString(r.Host), o, "host", r.Host, "a lower-case host name without a port")
--- a/configuration/publish.go
+++ b/configuration/publish.go
@@ -16,7 +16,9 @@
 	Comment string
 	Set     Set
 	Changes []Change
-	sum     digest
+	// Source is the document that the set was made from, or nil.
+	Source *Source
+	sum    digest
 }
 
 // digest is the hash of a publish's encoded form, in hexadecimal digits.
@@ -31,6 +33,7 @@
 	Whole   bool     `json:"whole,omitempty"`
 	Digest  digest   `json:"digest,omitempty"`
 	Changes []Change `json:"changes"`
+	Source  *Source  `json:"source,omitempty"`
 }
 
 // MarshalBinary encodes the publish, for a log command.
@@ -44,7 +47,7 @@
 	if err := json.Unmarshal(data, &body); err != nil {
 		return fmt.Errorf("reading a publish: %w", err)
 	}
-	*p = Publish{ID: body.ID, Base: body.Base, Author: body.Author, Comment: body.Comment, sum: body.Digest}
+	*p = Publish{ID: body.ID, Base: body.Base, Author: body.Author, Comment: body.Comment, Source: body.Source, sum: body.Digest}
 	if !body.Whole {
 		p.Changes = append([]Change{}, body.Changes...)
 		return nil
@@ -55,7 +58,7 @@
 }
 
 func (p Publish) body() publishBody {
-	body := publishBody{ID: p.ID, Base: p.Base, Author: p.Author, Comment: p.Comment, Digest: p.sum, Changes: p.Changes}
+	body := publishBody{ID: p.ID, Base: p.Base, Author: p.Author, Comment: p.Comment, Digest: p.sum, Changes: p.Changes, Source: p.Source}
 	if p.Changes == nil {
 		body.Whole = true
 		body.Changes = p.Set.Changes(Set{})
--- a/configuration/registry.go
+++ b/configuration/registry.go
@@ -21,6 +21,7 @@
 	revision  uint64
 	current   Set
 	size      int64
+	source    *Source
 	revisions []revision
 	// recovered is the first revision after a forced recovery, zero for none.
 	recovered uint64
@@ -63,6 +64,10 @@
 	if p.ID == "" {
 		return r.broken(Problems{{Name: "publication-id", Found: "nothing", Expected: "an id of its own"}})
 	}
+	p, refused := r.rebase(p)
+	if refused != nil {
+		return *refused
+	}
 	if p.Base > r.revision {
 		return r.broken(Problems{{Name: "base", Found: fmt.Sprint(p.Base), Expected: fmt.Sprintf("a revision up to %d", r.revision)}})
 	}
@@ -112,6 +117,7 @@
 		Changes:  len(made.Forward),
 	}
 	r.current = set
+	r.source = p.Source
 	r.revisions = append(r.revisions, made)
 	r.kept += made.size()
 	r.dropOldest()
@@ -176,8 +182,12 @@
 	return changes, false
 }
 
-// Shorten returns p with the changes on its base in place of a whole set, where the base is kept.
+// Shorten returns p with the changes on its base in place of a whole set, where the base is kept. The base of a publish
+// with a source is known only when it is applied.
 func (r *Registry) Shorten(p Publish) Publish {
+	if p.Source != nil {
+		return p
+	}
 	base, ok := r.Set(p.Base)
 	if p.Changes != nil || !ok || p.Set.Check() != nil {
 		return p
--- a/configuration/registrystate.go
+++ b/configuration/registrystate.go
@@ -14,6 +14,7 @@
 	Objects   []Change     `json:"objects"`
 	Revisions []revision   `json:"revisions"`
 	Recovered uint64       `json:"recovered,omitempty"`
+	Source    *Source      `json:"source,omitempty"`
 	Answers   []keptAnswer `json:"answers"`
 }
 
@@ -25,6 +26,7 @@
 		Objects:   r.current.Changes(Set{}),
 		Revisions: r.revisions,
 		Recovered: r.recovered,
+		Source:    r.source,
 		Answers:   r.answers.list(),
 	})
 }
@@ -47,6 +49,7 @@
 	}
 	r.revision = state.Revision
 	r.recovered = state.Recovered
+	r.source = state.Source
 	r.current = current
 	r.size = current.Size()
 	r.revisions = state.Revisions
--- /dev/null
+++ b/configuration/source_test.go
@@ -0,0 +1,72 @@
+package configuration_test
+
+import (
+	"testing"
+	"time"
+
+	"sapphirespread.example/configuration"
+)
+
+func sourced(id string, version, base uint64) configuration.Publish {
+	document := []byte(id)
+	set := configuration.Set{Limits: []configuration.Limit{{Name: "l", Rate: float64(version), Burst: 1}}}
+	return configuration.Publish{ID: id, Set: set, Source: &configuration.Source{Version: version, Base: base, Document: document}}
+}
+
+// TestSourcesAreAcceptedOnTheVersionThatTheyBuildOn publishes documents that number their own versions, resends and races included.
+func TestSourcesAreAcceptedOnTheVersionThatTheyBuildOn(t *testing.T) {
+	r := configuration.NewRegistry()
+	for _, step := range []struct {
+		publish configuration.Publish
+		want    configuration.Answer
+		version uint64
+	}{
+		{sourced("first", 5, 0), configuration.Accepted, 5},
+		{sourced("first", 5, 0), configuration.Accepted, 5},
+		{sourced("second", 7, 5), configuration.Accepted, 7},
+		{sourced("racer", 7, 5), configuration.Conflict, 7},
+		{sourced("racer", 7, 5), configuration.Conflict, 7},
+		{sourced("same-version", 7, 7), configuration.Broken, 7},
+		{sourced("old-version", 6, 7), configuration.Broken, 7},
+		{sourced("third", 12, 7), configuration.Accepted, 12},
+		{sourced("first", 5, 0), configuration.Accepted, 12},
+		{sourced("second", 7, 5), configuration.Accepted, 12},
+	} {
+		encoded, err := r.Shorten(step.publish).MarshalBinary()
+		if err != nil {
+			t.Fatal(err)
+		}
+		var decoded configuration.Publish
+		if err := decoded.UnmarshalBinary(encoded); err != nil {
+			t.Fatal(err)
+		}
+		got := r.Publish(time.Unix(1, 0), decoded)
+		if got.Kind != step.want || r.Source().Version != step.version {
+			t.Errorf("%s: %s, version %d in force; want %s, %d", step.publish.ID, got.Kind, r.Source().Version, step.want, step.version)
+		}
+	}
+	state, err := r.MarshalBinary()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := configuration.NewRegistry()
+	if err := restored.UnmarshalBinary(state); err != nil {
+		t.Fatal(err)
+	}
+	if string(restored.Source().Document) != "third" || restored.Publish(time.Unix(2, 0), sourced("late", 13, 7)).Kind != configuration.Conflict {
+		t.Error("the document does not outlive a snapshot")
+	}
+}
+
+// TestSplitsFollowTheirWeights draws many requests of a route that two services share.
+func TestSplitsFollowTheirWeights(t *testing.T) {
+	r := configuration.Route{Split: []configuration.Part{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	const draws = 10_000
+	count := map[string]int{}
+	for i := range uint64(draws) {
+		count[r.ServiceFor(i*0x9e3779b97f4a7c15)]++
+	}
+	if count["a"] < 8900 || count["a"] > 9100 || count["a"]+count["b"] != draws {
+		t.Errorf("got %v of %d", count, draws)
+	}
+}
--- a/configuration/workspace.go
+++ b/configuration/workspace.go
@@ -7,6 +7,8 @@
 	Name  string  `json:"name" toml:"-"`
 	Limit string  `json:"limit" toml:"limit"`
 	Share float64 `json:"share" toml:"share"`
+	// Priority ranks the workspace's requests before the priorities of their routes do; none where it is empty.
+	Priority string `json:"priority,omitempty" toml:"priority,omitempty"`
 }
 
 // ObjectKind returns KindWorkspace.
--- a/replica/formation.go
+++ b/replica/formation.go
@@ -73,10 +73,17 @@
 }
 
 func (r *Replica) stepAnnouncement(now time.Time, m Message, announcement Announcement) {
+	if m.Cluster != 0 && m.Cluster != r.hard.Cluster {
+		return
+	}
 	if r.hard.Cluster == 0 {
 		r.sendTo(announcement.Address, Message{To: m.From, Body: AnnouncementAnswer{Name: r.self.Name}})
 		return
 	}
+	if _, known := r.Members().Find(m.From); known && r.phase == Leader {
+		r.learned[m.From] = announcement.Address
+		return
+	}
 	if r.phase == Leader {
 		member := Member{Name: announcement.Name, ID: m.From, Address: announcement.Address}
 		r.leading.joiners[announcement.Name] = joiner{member: member, heardAt: now}
--- a/replica/membership.go
+++ b/replica/membership.go
@@ -91,6 +91,9 @@
 			return
 		}
 	}
+	if r.openSize > 0 && (r.admitOnTick(now) || r.retireOnTick(now)) {
+		return
+	}
 	r.recordMove(now)
 }
 
--- a/replica/node_test.go
+++ b/replica/node_test.go
@@ -78,6 +78,7 @@
 		replica.WithHeartbeat(heartbeat),
 		replica.WithPeers(slices.Clone(n.world.peers)...),
 		replica.WithJoin(n.join),
+		replica.WithOpenMembership(n.world.openSize),
 		replica.WithRandom(rand.New(rand.NewPCG(n.world.random.Uint64(), 0))),
 		replica.WithRetainedEntries(retainedEntries),
 		replica.WithPieceBytes(snapshotPiece),
--- a/replica/options.go
+++ b/replica/options.go
@@ -17,6 +17,8 @@
 	promotionLag           = 64
 	// ClockRateMargin is the share by which a lease is shorter than the time for which voters keep it.
 	ClockRateMargin = 0.1
+	// forgottenTimeouts is how many election timeouts a member without a vote is silent before it is taken out.
+	forgottenTimeouts = 10
 	// silentTimeouts is how many election timeouts a member is silent before an empty replica replaces it.
 	silentTimeouts = 3
 	roundsKept     = 128
@@ -33,6 +35,7 @@
 	heartbeat       time.Duration
 	peers           []Peer
 	join            bool
+	openSize        int
 	random          *rand.Rand
 	retained        uint64
 	pieceBytes      int
@@ -62,6 +65,12 @@
 	return func(o *options) { o.join = join }
 }
 
+// WithOpenMembership makes the leader admit replicas that announce themselves, and take silent voters out while there are
+// more than size, without an operator; zero leaves both to operators.
+func WithOpenMembership(size int) Option {
+	return func(o *options) { o.openSize = size }
+}
+
 // WithRandom sets the source of election timeouts and cluster ids.
 func WithRandom(random *rand.Rand) Option {
 	return func(o *options) { o.random = random }
--- a/replica/property_test.go
+++ b/replica/property_test.go
@@ -167,7 +167,7 @@
 			return marker != "" && !slices.ContainsFunc(w.nodes, func(n *node) bool { return !slices.Contains(n.words, marker) })
 		}
 		if !w.runUntil(settleTimeouts*electionTimeout, applied) {
-			t.Fatalf("command %q is not applied everywhere within %d election timeouts", marker, settleTimeouts)
+			t.Fatalf("command %q is not applied everywhere within %d election timeouts\n%s", marker, settleTimeouts, w.membersSeen())
 		}
 		if !w.runUntil(settleTimeouts*electionTimeout, func() bool { return w.wholeWithout(nil) }) {
 			t.Fatalf("not all nodes are voters again within %d election timeouts", settleTimeouts)
--- a/replica/step.go
+++ b/replica/step.go
@@ -115,5 +115,8 @@
 	if !now.Before(r.electionAt) {
 		r.deferElection(now)
 		r.campaign(now, true, false)
+		if r.openSize > 0 || len(r.Members()) == 0 {
+			r.announceAgain()
+		}
 	}
 }
--- a/replica/world_test.go
+++ b/replica/world_test.go
@@ -37,6 +37,8 @@
 	peers    []replica.Peer
 	messages []inFlight
 	cuts     map[direction]bool
+	// openSize is the size of an open membership that nodes start with, zero for none.
+	openSize int
 	// left are the addresses that nodes have moved away from.
 	left      map[netip.AddrPort]bool
 	moves     uint16
@@ -50,11 +52,14 @@
 	answered uint64
 }
 
-func newWorld(t failer, seed uint64, size int, clockSkew float64) *world {
+func newWorld(t failer, seed uint64, size int, clockSkew float64, options ...func(*world)) *world {
 	w := &world{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), cuts: map[direction]bool{}, left: map[netip.AddrPort]bool{},
 		leaders: map[uint64]replica.ID{}, committed: map[uint64]replica.Entry{},
 	}
+	for _, option := range options {
+		option(w)
+	}
 	for i := range size {
 		one := w.addNode(string(rune('a'+i)), clockSkew)
 		w.peers = append(w.peers, replica.Peer{Name: one.name, Address: one.address})
