Measure leases and grants with a clock that counts suspension

Cause: CLOCK_MONOTONIC stands still in a suspended machine, so a leader or a daemon that wakes took its lease, its grants and its configuration for fresh. Leases, grants and confirmations are read by CLOCK_BOOTTIME, at the moment of use.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"sapphirespread.example/internal/control/controlpb"
+	"sapphirespread.example/internal/host/boottime"
 	"sapphirespread.example/internal/peer"
 	"sapphirespread.example/internal/peer/peerpb"
 	"sapphirespread.example/internal/settings"
@@ -179,14 +180,16 @@
 			c.changeLeadership(nil)
 			return
 		case <-c.store.Changed():
-			c.follow(time.Now())
-		case now := <-polls.C:
+			c.follow(boottime.Now())
+		case <-polls.C:
+			now := boottime.Now()
 			if l := c.leadership.Load(); l != nil && c.leadsAt(l.term, now) && l.poll(now) {
 				polls.Reset(pollPeriod)
 			}
 		case <-c.held:
 			polls.Reset(pollPeriod)
-		case now := <-expiries.C:
+		case <-expiries.C:
+			now := boottime.Now()
 			c.follow(now)
 			c.expire(now)
 		}
@@ -274,7 +277,7 @@
 
 // leads reports whether this instance holds the leader lease of term now.
 func (c *Control) leads(term uint64) bool {
-	return c.leadsAt(term, time.Now())
+	return c.leadsAt(term, boottime.Now())
 }
 
 // leadsAt reports whether this instance holds the leader lease of term at now.
--- a/internal/control/operators.go
+++ b/internal/control/operators.go
@@ -7,8 +7,8 @@
 	"fmt"
 	"net"
 	"net/http"
-	"time"
 
+	"sapphirespread.example/internal/host/boottime"
 	"sapphirespread.example/internal/operator"
 )
 
@@ -55,7 +55,7 @@
 // readiness tells whether sessions of daemons can be served here or relayed to a leader.
 func (c *Control) readiness() readiness {
 	leader, _, known := c.store.Leader()
-	state := readiness{Leader: leader, Leads: c.store.Lease(time.Now()), Term: c.store.Term()}
+	state := readiness{Leader: leader, Leads: c.store.Lease(boottime.Now()), Term: c.store.Term()}
 	state.Ready = state.Leads || known && leader != c.settings.Name
 	c.store.Read(func() { state.Revision = c.state.configuration.Revision() })
 	return state
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"sapphirespread.example/internal/host/boottime"
 	"sapphirespread.example/internal/peer"
 	"sapphirespread.example/internal/peer/peerpb"
 	"sapphirespread.example/limit"
@@ -120,7 +121,7 @@
 		if err := s.stream.Receive(message); err != nil {
 			return err
 		}
-		s.receive(time.Now(), message)
+		s.receive(boottime.Now(), message)
 	}
 }
 
--- a/internal/control/sessionwrite.go
+++ b/internal/control/sessionwrite.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sapphirespread.example/configuration"
+	"sapphirespread.example/internal/host/boottime"
 	"sapphirespread.example/internal/message"
 	"sapphirespread.example/internal/peer/peerpb"
 	"sapphirespread.example/quarantine"
@@ -25,7 +26,7 @@
 				return err
 			}
 		case <-s.woken:
-			if err := s.flush(time.Now()); err != nil {
+			if err := s.flush(boottime.Now()); err != nil {
 				return err
 			}
 		}
--- a/internal/control/system.go
+++ b/internal/control/system.go
@@ -11,6 +11,7 @@
 
 	"sapphirespread.example/configuration"
 	"sapphirespread.example/internal/control/controlpb"
+	"sapphirespread.example/internal/host/boottime"
 	"sapphirespread.example/internal/operator"
 	"sapphirespread.example/internal/peer/peerpb"
 	"sapphirespread.example/internal/store"
@@ -39,7 +40,7 @@
 
 // leading fails with NotLeader where this instance cannot show the leader lease.
 func (c *Control) leading(ctx context.Context) error {
-	if c.store.Lease(time.Now()) {
+	if c.store.Lease(boottime.Now()) {
 		return nil
 	}
 	return c.notLeader(ctx)
@@ -107,7 +108,7 @@
 func (c *Control) Quarantine(ctx context.Context) ([]operator.QuarantineEntry, error) {
 	var held []quarantine.Entry
 	c.store.Read(func() { held = c.state.quarantine.Entries() })
-	now := time.Now()
+	now := boottime.Now()
 	entries := make([]operator.QuarantineEntry, 0, len(held))
 	for _, entry := range held {
 		shown := operator.QuarantineEntry{
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"sapphirespread.example/configuration"
+	"sapphirespread.example/internal/host/boottime"
 	"sapphirespread.example/internal/membership/target"
 	"sapphirespread.example/internal/peer"
 	"sapphirespread.example/internal/settings"
@@ -239,7 +240,7 @@
 }
 
 func (d *Daemon) snapshot() configuration.Snapshot {
-	snapshot, _ := d.view.Current(time.Now())
+	snapshot, _ := d.view.Current(boottime.Now())
 	return snapshot
 }
 
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -12,6 +12,7 @@
 
 	"sapphirespread.example/claim"
 	"sapphirespread.example/configuration"
+	"sapphirespread.example/internal/host/boottime"
 	"sapphirespread.example/quarantine"
 	"sapphirespread.example/refusal"
 	"sapphirespread.example/retry"
@@ -43,7 +44,7 @@
 
 // enter identifies the workspace and the route of a caller's request.
 func (d *Daemon) enter(r *http.Request, secret string) (*call, *attemptError) {
-	snapshot, fresh := d.view.Current(time.Now())
+	snapshot, fresh := d.view.Current(boottime.Now())
 	matched, refused := matchRoute(snapshot, r)
 	if refused != nil {
 		if !fresh {
--- a/internal/daemon/linkgrants.go
+++ b/internal/daemon/linkgrants.go
@@ -3,13 +3,14 @@
 import (
 	"time"
 
+	"sapphirespread.example/internal/host/boottime"
 	"sapphirespread.example/internal/peer/peerpb"
 	"sapphirespread.example/limit"
 )
 
 // ask returns tokens that are not wanted, and asks for those that demand calls for.
 func (s *linkSession) ask() error {
-	now := time.Now()
+	now := boottime.Now()
 	if err := s.sendReturns(s.link.daemon.holder.Idle(now)); err != nil {
 		return err
 	}
@@ -48,7 +49,7 @@
 func (s *linkSession) acceptGrants(grants []*peerpb.Grant) {
 	d := s.link.daemon
 	for _, granted := range grants {
-		now := time.Now()
+		now := boottime.Now()
 		grant := limit.Grant{
 			ID:         granted.GetId(),
 			Workspace:  granted.GetWorkspace(),
--- a/internal/daemon/linkreceive.go
+++ b/internal/daemon/linkreceive.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sapphirespread.example/configuration"
+	"sapphirespread.example/internal/host/boottime"
 	"sapphirespread.example/internal/membership/target"
 	"sapphirespread.example/internal/message"
 	"sapphirespread.example/internal/peer/peerpb"
@@ -50,7 +51,7 @@
 
 // confirm renews the freshness lease, which starts when the heartbeat was sent.
 func (s *linkSession) confirm(confirmed *peerpb.Confirm) {
-	now := time.Now()
+	now := boottime.Now()
 	s.mu.Lock()
 	heartbeat, known := s.sent[confirmed.GetSequence()]
 	delete(s.sent, confirmed.GetSequence())
@@ -62,7 +63,7 @@
 		return
 	}
 	d := s.link.daemon
-	d.clock.Observe(now, message.DecodeStamp(confirmed.GetStamp()))
+	d.clock.Observe(time.Now(), message.DecodeStamp(confirmed.GetStamp()))
 	d.view.Confirm(heartbeat.at, confirmed.GetRevision())
 	s.link.wanted.setKnown(heartbeat.services)
 }
--- a/internal/daemon/linksession.go
+++ b/internal/daemon/linksession.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"sapphirespread.example/internal/host/boottime"
 	"sapphirespread.example/internal/membership/target"
 	"sapphirespread.example/internal/message"
 	"sapphirespread.example/internal/peer"
@@ -53,7 +54,7 @@
 		link:      l,
 		stream:    stream,
 		sent:      make(map[uint64]sentHeartbeat),
-		confirmed: time.Now(),
+		confirmed: boottime.Now(),
 	}
 }
 
@@ -150,7 +151,7 @@
 
 // heartbeat asks for a confirmation of what this daemon has, and renews the announcement.
 func (s *linkSession) heartbeat() error {
-	now := time.Now()
+	now := boottime.Now()
 	if s.silence(now) > confirmTimeout {
 		return errNotConfirmed
 	}
@@ -166,7 +167,7 @@
 		MembershipVersion: version,
 		CalledServices:    services,
 		QuarantineVersion: d.quarantine.Version(),
-		Stamp:             message.EncodeStamp(d.clock.Now(now)),
+		Stamp:             message.EncodeStamp(d.clock.Now(time.Now())),
 	}
 	return s.stream.Send(&peerpb.DaemonMessage{Body: &peerpb.DaemonMessage_Heartbeat{Heartbeat: heartbeat}})
 }
@@ -196,7 +197,7 @@
 
 // announce renews the announcement where it is due, in one write with the heartbeat that follows.
 func (s *linkSession) announce(now time.Time) error {
-	said, incarnation, present := s.link.daemon.backend.at(now)
+	said, incarnation, present := s.link.daemon.backend.at(time.Now())
 	if !present && !s.announced {
 		return nil
 	}
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"sapphirespread.example/internal/host/boottime"
 	"sapphirespread.example/internal/operator"
 	"sapphirespread.example/timeline"
 )
@@ -50,7 +51,7 @@
 
 // Ready fails while the daemon cannot serve keyed requests.
 func (d *Daemon) Ready(context.Context) error {
-	state := d.readiness(time.Now())
+	state := d.readiness(boottime.Now())
 	if state.Ready {
 		return nil
 	}
@@ -74,6 +75,6 @@
 // publishGauges adds the readings that are taken when the metrics are read.
 func (d *Daemon) publishGauges() {
 	d.counters.vars.Set("admission", expvar.Func(func() any { return d.admitter.stats(time.Now()) }))
-	d.counters.vars.Set("readiness", expvar.Func(func() any { return d.readiness(time.Now()) }))
+	d.counters.vars.Set("readiness", expvar.Func(func() any { return d.readiness(boottime.Now()) }))
 	d.counters.vars.Set("in-flight", expvar.Func(func() any { return d.inFlight.current() }))
 }
--- a/internal/daemon/subcall.go
+++ b/internal/daemon/subcall.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/google/uuid"
 
 	"sapphirespread.example/configuration"
+	"sapphirespread.example/internal/host/boottime"
 	"sapphirespread.example/refusal"
 	"sapphirespread.example/retry"
 )
@@ -43,7 +43,7 @@
 
 // enterSubcall makes the call that continues parent's whole request.
 func (d *Daemon) enterSubcall(r *http.Request, parent *call, name string) (*call, *attemptError) {
-	snapshot, _ := d.view.Current(time.Now())
+	snapshot, _ := d.view.Current(boottime.Now())
 	matched, refused := matchRoute(snapshot, r)
 	if refused != nil {
 		return nil, refused
--- a/internal/daemon/tokenwait.go
+++ b/internal/daemon/tokenwait.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"sapphirespread.example/internal/host/boottime"
 	"sapphirespread.example/limit"
 	"sapphirespread.example/refusal"
 )
@@ -37,7 +38,7 @@
 
 // spend takes one token of workspace, waiting for a grant within the deadline of ctx.
 func (t *tokenWait) spend(ctx context.Context, workspace string) *attemptError {
-	now := time.Now()
+	now := boottime.Now()
 	t.spends.Add(1)
 	if t.queueLength(workspace) == 0 && t.holder.Spend(now, workspace, tokensACall) {
 		return nil
--- a/internal/store/bench_test.go
+++ b/internal/store/bench_test.go
@@ -74,7 +74,7 @@
 	b.Helper()
 	self := peer.Identity{Cluster: "bench", Process: settings.Name, Incarnation: 1}
 	p := &process{pool: peer.NewPool(self), server: peer.NewServer(self)}
-	opened, err := store.Open(settings, &discard{}, p.pool, p.server, opts...)
+	opened, err := store.Open(settings, &discard{}, p.pool, p.server, append(opts, store.WithClock(time.Now))...)
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/store/loop.go
+++ b/internal/store/loop.go
@@ -34,20 +34,20 @@
 	select {
 	case <-ctx.Done():
 	case m := <-s.links.inbox:
-		s.replica.Step(time.Now(), m)
+		s.replica.Step(s.now(), m)
 	case r := <-s.requests:
 		s.takeRequest(r)
 	case reply := <-s.statuses:
 		reply <- s.status()
 	case reply := <-s.transfers:
-		reply <- s.replica.Transfer(time.Now())
+		reply <- s.replica.Transfer(s.now())
 	case <-s.snapshots.taken:
 		s.replica.PauseApply(false)
 	case written := <-s.snapshots.written:
 		s.snapshotArrived(written)
 	case <-s.beat.C:
 		s.takeMessages()
-		s.replica.Tick(time.Now())
+		s.replica.Tick(s.now())
 	}
 }
 
@@ -67,7 +67,7 @@
 	for range maxBatch {
 		select {
 		case m := <-s.links.inbox:
-			s.replica.Step(time.Now(), m)
+			s.replica.Step(s.now(), m)
 		default:
 			return
 		}
@@ -75,7 +75,7 @@
 }
 
 func (s *Store) takeRequest(r *request) {
-	index, term, err := r.extend(time.Now())
+	index, term, err := r.extend(s.now())
 	if err != nil {
 		r.finish(nil, err)
 		return
@@ -86,7 +86,7 @@
 // settle persists, sends and applies until the replica asks for nothing more.
 func (s *Store) settle(ctx context.Context) error {
 	for {
-		s.publish(time.Now())
+		s.publish(s.now())
 		ready := s.replica.Ready()
 		if ready.Empty() {
 			if err := s.replica.Superseded(); err != nil {
@@ -97,7 +97,7 @@
 		if err := s.handle(ctx, ready); err != nil {
 			return err
 		}
-		s.replica.Advance(time.Now(), ready)
+		s.replica.Advance(s.now(), ready)
 	}
 }
 
@@ -171,7 +171,7 @@
 
 func (s *Store) status() Status {
 	return Status{
-		Status:        s.replica.Status(time.Now()),
+		Status:        s.replica.Status(s.now()),
 		LogBytes:      s.disk.journal.Size(),
 		SnapshotBytes: s.disk.snapshot,
 	}
--- a/internal/store/options.go
+++ b/internal/store/options.go
@@ -1,8 +1,11 @@
 package store
 
 import (
+	"time"
+
 	"github.com/rs/zerolog"
 
+	"sapphirespread.example/internal/host/boottime"
 	"sapphirespread.example/journal"
 	"sapphirespread.example/replica"
 )
@@ -19,6 +22,7 @@
 	fsys          journal.FS
 	snapshotBytes int64
 	replica       []replica.Option
+	now           func() time.Time
 }
 
 // An Option changes how a store works.
@@ -39,13 +43,18 @@
 	return func(o *options) { o.snapshotBytes = size }
 }
 
+// WithClock sets the clock that leases are measured with, in place of one that counts the time of a suspended machine.
+func WithClock(now func() time.Time) Option {
+	return func(o *options) { o.now = now }
+}
+
 // WithReplicaOptions passes options on to the replica.
 func WithReplicaOptions(opts ...replica.Option) Option {
 	return func(o *options) { o.replica = append(o.replica, opts...) }
 }
 
 func newOptions(opts []Option) options {
-	o := options{logger: zerolog.Nop(), snapshotBytes: defaultSnapshotBytes}
+	o := options{logger: zerolog.Nop(), snapshotBytes: defaultSnapshotBytes, now: boottime.Now}
 	for _, opt := range opts {
 		opt(&o)
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -96,7 +96,7 @@
 		replica.WithElectionTimeout(s.settings.ElectionTimeout),
 		replica.WithHeartbeat(s.settings.Heartbeat),
 	}, s.options.replica...)
-	s.replica, err = replica.New(time.Now(), s.settings.Name, s.disk.id, s.settings.Address, persisted, opts...)
+	s.replica, err = replica.New(s.now(), s.settings.Name, s.disk.id, s.settings.Address, persisted, opts...)
 	return err
 }
 
@@ -104,7 +104,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	s.view.Store(&view{})
-	s.publish(time.Now())
+	s.publish(s.now())
 	s.beat = time.NewTicker(s.settings.Heartbeat / 2)
 	s.links.accept(ctx)
 	go s.run(ctx)
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -79,7 +79,7 @@
 		Name: one.name, DataFolder: one.folder, Members: c.members, Address: one.address, Join: join,
 		ElectionTimeout: 300 * time.Millisecond, Heartbeat: 50 * time.Millisecond,
 	}
-	opened, err := store.OpenOver(settings, one.words, port{network: c.network, address: one.address}, c.opts...)
+	opened, err := store.OpenOver(settings, one.words, port{network: c.network, address: one.address}, append(slices.Clone(c.opts), store.WithClock(time.Now))...)
 	if err != nil {
 		c.t.Fatal(err)
 	}
