--- a/internal/cmd/root.go
+++ b/internal/cmd/root.go
@@ -35,6 +35,7 @@
 	newStatusCommand,
 	newDaemonCommand,
 	newControlCommand,
+	newPlatformCommand,
 	newTimelineCommand,
 	func(*app) *cli.Command { return standinCommand() },
 	newDemoCommand,
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -41,6 +42,7 @@
 	logger      zerolog.Logger
 	tls         *tls.Config
 	listeners   Listeners
+	extra       []extraServer
 	incarnation uint64
 	clock       *timeline.Clock
 	ring        *timeline.Ring
@@ -100,7 +102,11 @@
 	}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return c.peers.Serve(c.listeners.Peers) })
-	group.Go(func() error { return serveHTTP(operators, c.listeners.Operators) })
+	group.Go(func() error { return serveHTTP(operators.Server, c.listeners.Operators) })
+	extra, err := c.serveExtra(group)
+	if err != nil {
+		return err
+	}
 	group.Go(func() error { return c.watchStore(ctx) })
 	group.Go(func() error {
 		c.batcher.run(ctx)
@@ -112,7 +118,7 @@
 	})
 	group.Go(func() error {
 		<-ctx.Done()
-		c.stop(operators)
+		c.stop(append(extra, operators.Server))
 		return nil
 	})
 	c.record("control", "started")
@@ -163,6 +169,7 @@
 		Members:         members,
 		Address:         c.settings.PeerAdvertise,
 		Join:            c.settings.Join,
+		Voters:          c.settings.Voters,
 		ElectionTimeout: c.settings.ElectionTimeout,
 		Heartbeat:       c.settings.Heartbeat,
 	}
@@ -285,15 +292,32 @@
 	return c.store.Lease(now) && c.store.Term() == term
 }
 
-func (c *Control) stop(operators *operatorsServer) {
+// serveExtra starts the further servers and returns them.
+func (c *Control) serveExtra(group *errgroup.Group) ([]*http.Server, error) {
+	var servers []*http.Server
+	for _, extra := range c.extra {
+		listener, err := net.Listen("tcp", extra.address.String())
+		if err != nil {
+			return nil, fmt.Errorf("listening on %s: %w", extra.address, err)
+		}
+		server := c.newHTTPServer(extra.handler(c))
+		servers = append(servers, server)
+		group.Go(func() error { return serveHTTP(server, listener) })
+	}
+	return servers, nil
+}
+
+func (c *Control) stop(servers []*http.Server) {
 	c.record("control", "stopping")
 	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
 	defer cancel()
 	if err := c.store.Transfer(ctx); err != nil {
 		c.logger.Debug().Err(err).Msg("control: leadership not handed over")
 	}
-	if operators.Shutdown(ctx) != nil {
-		_ = operators.Close()
+	for _, server := range servers {
+		if server.Shutdown(ctx) != nil {
+			_ = server.Close()
+		}
 	}
 	c.changeLeadership(nil)
 	_ = c.store.Close()
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -28,6 +28,16 @@
 	return members, nil
 }
 
+// memberAddresses returns where the control instances of the cluster are reached by other processes.
+func (c *Control) memberAddresses() []string {
+	members := c.store.Members()
+	addresses := make([]string, 0, len(members))
+	for _, member := range members {
+		addresses = append(addresses, member.Address.String())
+	}
+	return addresses
+}
+
 func roleOf(member replica.MemberStatus, leader replica.ID) operator.Role {
 	switch {
 	case member.ID == leader:
--- a/internal/control/operators.go
+++ b/internal/control/operators.go
@@ -27,15 +27,19 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", c.serveMetrics)
 	mux.Handle("/", api)
-	return &operatorsServer{&http.Server{
-		Handler:           mux,
+	return &operatorsServer{c.newHTTPServer(mux)}, nil
+}
+
+func (c *Control) newHTTPServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
 		ReadHeaderTimeout: c.settings.Timeouts.ReadHeader,
 		IdleTimeout:       c.settings.Timeouts.Idle,
 		MaxHeaderBytes:    maxHeaderBytes,
-	}}, nil
+	}
 }
 
-func serveHTTP(server *operatorsServer, listener net.Listener) error {
+func serveHTTP(server *http.Server, listener net.Listener) error {
 	err := server.Serve(listener)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -49,6 +49,7 @@
 	membership uint64
 	quarantine uint64
 	hasTargets bool
+	control    []string
 }
 
 func newSession(c *Control, l *leadership, info *peerpb.Attach, stream *peer.Stream) *session {
@@ -100,6 +101,8 @@
 	defer context.AfterFunc(ctx, s.close)()
 	attached := &peerpb.Attached{Leader: s.control.settings.Name, Term: s.leadership.term}
 	attached.Cluster, attached.Generation = s.control.store.Cluster()
+	attached.ControlAddresses = s.control.memberAddresses()
+	s.sent.control = attached.ControlAddresses
 	if err := s.stream.Send(&peerpb.ControlMessage{Body: &peerpb.ControlMessage_Attached{Attached: attached}}); err != nil {
 		return err
 	}
--- a/internal/control/sessionwrite.go
+++ b/internal/control/sessionwrite.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"sapphirespread.example/configuration"
@@ -186,5 +187,8 @@
 		QuarantineVersion: s.sent.quarantine,
 		Stamp:             s.control.stamp(heartbeat.GetStamp()),
 	}
+	if addresses := s.control.memberAddresses(); !slices.Equal(addresses, s.sent.control) {
+		confirm.ControlAddresses, s.sent.control = addresses, addresses
+	}
 	return s.write(&peerpb.ControlMessage{Body: &peerpb.ControlMessage_Confirm{Confirm: confirm}})
 }
--- a/internal/daemon/admitter.go
+++ b/internal/daemon/admitter.go
@@ -63,7 +63,7 @@
 		Share:     c.share,
 		Deadline:  c.deadline,
 		Shed:      c.shed,
-		Nested:    c.depth > 0,
+		Nested:    c.nested,
 	}))
 }
 
--- a/internal/daemon/announce.go
+++ b/internal/daemon/announce.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"sapphirespread.example/internal/membership/target"
 	"sapphirespread.example/refusal"
 )
@@ -22,25 +24,38 @@
 
 // serveAnnounce takes an announcement of the backend server.
 func (d *Daemon) serveAnnounce(w http.ResponseWriter, r *http.Request) {
-	var said announcement
+	var said Announcement
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnounceBytes))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&said); err != nil {
-		d.refuseCaller(w, refuse(refusal.MalformedRequest, err.Error()))
+		d.refuseCaller(w, "", refuse(refusal.MalformedRequest, err.Error()))
 		return
 	}
-	if err := checkAnnouncement(said); err != "" {
-		d.refuseCaller(w, refuse(refusal.MalformedRequest, err))
+	incarnation, err := d.Announce(said)
+	if err != nil {
+		d.refuseCaller(w, "", refuse(refusal.MalformedRequest, err.Error()))
 		return
 	}
-	incarnation, started := d.backend.announce(time.Now(), said)
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(announceAnswer{incarnation, d.backend.lifetime.String()})
+}
+
+// Announce takes what the backend server says of itself, and returns by which number its start is known. It fails where
+// something is missing; one that was overtaken by a later one is taken as heard.
+func (d *Daemon) Announce(said Announcement) (uint64, error) {
+	if missing := checkAnnouncement(said); missing != "" {
+		return 0, errorx.IllegalArgument.New("taking an announcement: %s", missing)
+	}
+	incarnation, started, taken := d.backend.announce(time.Now(), said)
+	if !taken {
+		return incarnation, nil
+	}
 	d.admitter.announce(said.Slots)
 	d.announced(said, started)
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(announceAnswer{incarnation, announcementLifetime.String()})
+	return incarnation, nil
 }
 
-func checkAnnouncement(said announcement) string {
+func checkAnnouncement(said Announcement) string {
 	switch {
 	case said.Name == "" || said.Service == "":
 		return "name and service are needed"
@@ -58,7 +73,7 @@
 }
 
 // announced passes a change of the announcement on to control.
-func (d *Daemon) announced(said announcement, started bool) {
+func (d *Daemon) announced(said Announcement, started bool) {
 	if started {
 		d.record("membership", "backend server "+said.Name+" of "+said.Service+" announced itself")
 		d.logger.Info().Str("target", said.Name).Str("service", said.Service).Msg("daemon: backend server announced")
@@ -69,13 +84,22 @@
 // serveLeave takes the word of the backend server that it leaves.
 func (d *Daemon) serveLeave(w http.ResponseWriter, r *http.Request) {
 	name := r.PathValue("name")
-	if !d.backend.leave(name) {
-		d.refuseCaller(w, refuse(refusal.NoTarget, name))
+	if !d.Leave(name) {
+		d.refuseCaller(w, "", refuse(refusal.NoTarget, name))
 		return
 	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// Leave takes the word of the backend server that it leaves, and reports whether name was the one announced.
+func (d *Daemon) Leave(name string) bool {
+	if !d.backend.leave(name) {
+		return false
+	}
 	d.record("membership", "backend server "+name+" left")
+	d.logger.Info().Str("target", name).Msg("daemon: backend server left")
 	d.link.kickHeartbeat()
-	w.WriteHeader(http.StatusNoContent)
+	return true
 }
 
 // draining reports whether new calls should go elsewhere.
@@ -83,3 +107,8 @@
 	said, _, present := d.backend.at(time.Now())
 	return d.stopping.Load() || !present || said.State == target.Draining
 }
+
+// Disregard notes that an announcement could not be understood.
+func (d *Daemon) Disregard(err error) {
+	d.logger.Warn().Err(err).Msg("daemon: announcement disregarded")
+}
--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -29,6 +29,9 @@
 	priority       int
 	deadline       time.Time
 	repeatable     bool
+	claimed        bool // may run only with a claim
+	nested         bool // made by a backend server while it ran another request
+	callerService  string
 	depth          int
 	allowance      *retry.Allowance
 	idempotencyKey string
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"sapphirespread.example/configuration"
+	"sapphirespread.example/internal/daemon/dialect"
 	"sapphirespread.example/internal/host/boottime"
 	"sapphirespread.example/internal/membership/target"
 	"sapphirespread.example/internal/peer"
@@ -32,6 +33,8 @@
 // A Daemon is the process beside one backend server.
 type Daemon struct {
 	settings    settings.Daemon
+	dialect     dialect.Dialect
+	extra       []extraServer
 	logger      zerolog.Logger
 	tls         *tls.Config
 	listeners   Listeners
@@ -63,12 +66,14 @@
 	callIDs     atomic.Uint64
 	stopping    atomic.Bool
 	refusing    atomic.Bool
+	turning     atomic.Bool
 }
 
 // New returns a daemon of s that serves nothing until Run.
 func New(s settings.Daemon, options ...Option) *Daemon {
 	d := &Daemon{
 		settings:    s,
+		dialect:     ownDialect{},
 		logger:      zerolog.Nop(),
 		incarnation: uint64(time.Now().UnixNano()),
 		clock:       timeline.NewClock(),
@@ -82,7 +87,7 @@
 		option(d)
 	}
 	d.ring = timeline.NewRing(d.clock, s.Name, timelineSize)
-	d.backend = newBackend(d.incarnation)
+	d.backend = newBackend(d.incarnation, s.Timeouts.Announcement)
 	d.budgets = newBudgets(d.recorder)
 	d.setDecisions()
 	d.deeper = newDeeper(d.chooser)
@@ -143,7 +148,7 @@
 		{&d.listeners.Operators, d.settings.OperatorsListen, "operators"},
 	}
 	for _, w := range wanted {
-		if *w.listener != nil {
+		if *w.listener != nil || !w.address.IsValid() {
 			continue
 		}
 		listener, err := net.Listen("tcp", w.address.String())
@@ -172,11 +177,21 @@
 	subcalls.HandleFunc("PUT "+announcePath, d.serveAnnounce)
 	subcalls.HandleFunc("DELETE "+announcePath+"/{name}", d.serveLeave)
 	subcalls.HandleFunc("/", d.serveSubcall)
-	return []*httpServer{
+	servers := []*httpServer{
 		newHTTPServer(d.listeners.Callers, http.HandlerFunc(d.serveCaller), d.settings.Timeouts),
-		newHTTPServer(d.listeners.Subcalls, subcalls, d.settings.Timeouts),
 		newHTTPServer(d.listeners.Operators, operators, d.settings.Timeouts),
-	}, nil
+	}
+	if d.listeners.Subcalls != nil {
+		servers = append(servers, newHTTPServer(d.listeners.Subcalls, subcalls, d.settings.Timeouts))
+	}
+	for _, extra := range d.extra {
+		listener, err := net.Listen("tcp", extra.address.String())
+		if err != nil {
+			return nil, fmt.Errorf("listening on %s: %w", extra.address, err)
+		}
+		servers = append(servers, newHTTPServer(listener, extra.handler(d), d.settings.Timeouts))
+	}
+	return servers, nil
 }
 
 // stop refuses callers at once and other daemons once they could have heard, waits for what is in flight, returns unspent tokens and closes all sockets.
@@ -185,10 +200,12 @@
 	d.logger.Info().Msg("daemon: stopping")
 	d.stopping.Store(true)
 	d.link.kickHeartbeat()
-	time.Sleep(drainNotice)
-	d.refusing.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Timeouts.Drain)
 	defer cancel()
+	time.Sleep(drainNotice)
+	d.refusing.Store(true)
+	sleep(ctx, d.settings.Timeouts.CallersNotice-drainNotice)
+	d.turning.Store(true)
 	if err := d.inFlight.wait(ctx); err != nil {
 		d.logger.Warn().Int("requests", d.inFlight.current()).Msg("daemon: requests cut after the drain timeout")
 	}
@@ -199,7 +216,7 @@
 	}
 	_ = d.peers.Close()
 	_ = d.pool.Close()
-	d.backend.transport.CloseIdleConnections()
+	d.backend.connections.CloseIdle()
 	d.logger.Info().Msg("daemon: stopped")
 }
 
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -8,10 +8,12 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 
 	"sapphirespread.example/claim"
 	"sapphirespread.example/configuration"
+	"sapphirespread.example/internal/daemon/dialect"
 	"sapphirespread.example/internal/host/boottime"
 	"sapphirespread.example/quarantine"
 	"sapphirespread.example/refusal"
@@ -23,15 +25,15 @@
 	d.inFlight.add()
 	defer d.inFlight.done()
 	d.counters.requests.Add(1)
-	secret := takeKey(r.Header)
-	if d.stopping.Load() {
+	said := d.dialect.Arrive(r.Header)
+	if d.turnsAway() {
 		w.Header().Set("Connection", "close")
-		d.refuseCaller(w, refuse(refusal.Draining, ""))
+		d.refuseCaller(w, said.RequestID, refuse(refusal.Draining, ""))
 		return
 	}
-	c, refused := d.enter(r, secret)
+	c, refused := d.enter(r, said)
 	if refused != nil {
-		d.refuseCaller(w, refused)
+		d.refuseCaller(w, said.RequestID, refused)
 		return
 	}
 	d.serveRequest(w, r, c, func(ctx context.Context) *attemptError {
@@ -42,8 +44,13 @@
 	})
 }
 
+// turnsAway reports whether a stopping daemon refuses its callers: at once, or after the notice that its settings give.
+func (d *Daemon) turnsAway() bool {
+	return d.turning.Load() || d.stopping.Load() && d.settings.Timeouts.CallersNotice == 0
+}
+
 // enter identifies the workspace and the route of a caller's request.
-func (d *Daemon) enter(r *http.Request, secret string) (*call, *attemptError) {
+func (d *Daemon) enter(r *http.Request, said dialect.Arrival) (*call, *attemptError) {
 	snapshot, fresh := d.view.Current(boottime.Now())
 	matched, refused := matchRoute(snapshot, r)
 	if refused != nil {
@@ -52,19 +59,36 @@
 		}
 		return nil, refused
 	}
-	c := newCall(r, matched)
+	c := d.newCall(r, matched)
 	c.priority = priorityLevel(snapshot, matched.Priority)
-	c.wholeID = newWholeID()
+	c.wholeID = said.RequestID
+	if c.wholeID == "" {
+		c.wholeID = newWholeID()
+	}
+	c.service = matched.ServiceFor(xxhash.Sum64String(c.wholeID))
+	if said.Remaining > 0 {
+		c.deadline = earlier(c.deadline, time.Now().Add(said.Remaining))
+	}
 	c.share = 1
+	c.callerService = d.settings.Service
+	c.nested = matched.Open && d.settings.Service != ""
 	if !matched.Open {
-		refused = identify(snapshot, fresh, secret, matched, c)
+		refused = identify(snapshot, fresh, said.Key, matched, c)
 	}
-	if refused == nil && !c.repeatable {
+	if refused == nil && c.claimed {
 		refused = d.enterOnce(r, c, matched.ExtraAttempts)
 	}
 	return c, refused
 }
 
+// ranked returns the level of a request: that of its workspace goes first, where it has one, and that of its route second.
+func ranked(snapshot configuration.Snapshot, workspace configuration.Workspace, level int) int {
+	if workspace.Priority == "" {
+		return level
+	}
+	return priorityLevel(snapshot, workspace.Priority)
+}
+
 func newWholeID() string {
 	id, err := uuid.NewV7()
 	if err != nil {
@@ -104,6 +128,7 @@
 	c.workspace = entry.Workspace
 	if workspace, named := snapshot.Workspace(entry.Workspace); named {
 		c.share = workspace.Share
+		c.priority = ranked(snapshot, workspace, c.priority)
 	}
 	return nil
 }
@@ -118,8 +143,16 @@
 	return named.Level
 }
 
-func newCall(r *http.Request, matched configuration.Route) *call {
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+func (d *Daemon) newCall(r *http.Request, matched configuration.Route) *call {
 	return &call{
+		claimed:    !matched.Repeatable && !matched.Unclaimed,
 		route:      matched.Name,
 		service:    matched.Service,
 		repeatable: matched.Repeatable,
@@ -130,7 +163,7 @@
 			host:          r.Host,
 			path:          r.URL.EscapedPath(),
 			query:         r.URL.RawQuery,
-			header:        cloneForward(r.Header),
+			header:        d.dialect.Forward(r.Header),
 			contentLength: r.ContentLength,
 			trailerNames:  trailerNames(r.Trailer),
 		},
@@ -167,20 +200,20 @@
 	controller := http.NewResponseController(w)
 	r.Body = &stallReader{ReadCloser: r.Body, controller: controller, stall: d.settings.Timeouts.BodyStall, deadline: c.deadline}
 	if refused := c.takeBody(r, controller); refused != nil {
-		d.refuseCaller(w, refused)
+		d.refuseCaller(w, c.wholeID, refused)
 		return
 	}
 	if d.quarantined(c) {
-		d.refuseCaller(w, refuse(refusal.Quarantined, ""))
+		d.refuseCaller(w, c.wholeID, refuse(refusal.Quarantined, ""))
 		return
 	}
 	if refused := spend(ctx); refused != nil {
-		d.refuseCaller(w, refused)
+		d.refuseCaller(w, c.wholeID, refused)
 		return
 	}
 	answer, refused := d.dispatch(ctx, c)
 	if refused != nil {
-		d.refuseCaller(w, refused)
+		d.refuseCaller(w, c.wholeID, refused)
 		return
 	}
 	if c.parent != nil && answer.status < http.StatusInternalServerError {
--- a/internal/daemon/header.go
+++ b/internal/daemon/header.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"slices"
 	"strings"
+
+	"sapphirespread.example/internal/daemon/dialect"
 )
 
 // Names of the headers that the daemon reads and writes.
@@ -24,30 +26,6 @@
 	headerPrefix         = "Sapphirespread-"
 )
 
-var hopByHopHeaders = []string{
-	"Connection",
-	"Keep-Alive",
-	"Proxy-Authenticate",
-	"Proxy-Authorization",
-	"Proxy-Connection",
-	"Te",
-	"Trailer",
-	"Transfer-Encoding",
-	"Upgrade",
-}
-
-// removeHopByHop deletes the headers that concern one connection only.
-func removeHopByHop(header http.Header) {
-	for _, line := range header["Connection"] {
-		for name := range strings.SplitSeq(line, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHopHeaders {
-		delete(header, name)
-	}
-}
-
 // removeOwn deletes the project's own headers and the key.
 func removeOwn(header http.Header) {
 	for name := range header {
@@ -76,7 +54,7 @@
 	if forward == nil {
 		forward = make(http.Header)
 	}
-	removeHopByHop(forward)
+	dialect.RemoveHopByHop(forward)
 	removeOwn(forward)
 	return forward
 }
--- a/internal/daemon/link.go
+++ b/internal/daemon/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,6 +39,7 @@
 	leader  string
 	since   time.Time
 	newest  generation
+	told    []netip.AddrPort
 }
 
 func newLink(d *Daemon) *link {
@@ -71,12 +73,12 @@
 
 // run keeps the link up until ctx ends.
 func (l *link) run(ctx context.Context) {
-	addresses := l.daemon.settings.Control
-	next := rand.IntN(len(addresses))
+	next := rand.IntN(len(l.daemon.settings.Control))
 	var hint netip.AddrPort
 	for ctx.Err() == nil {
 		address := hint
 		if !address.IsValid() {
+			addresses := l.controls()
 			address = addresses[next%len(addresses)]
 			next++
 		}
@@ -87,6 +89,38 @@
 	}
 }
 
+// controls returns where control instances are: those that a leader told last, and those of the settings.
+func (l *link) controls() []netip.AddrPort {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	addresses := slices.Clone(l.told)
+	for _, configured := range l.daemon.settings.Control {
+		if !slices.Contains(addresses, configured) {
+			addresses = append(addresses, configured)
+		}
+	}
+	return addresses
+}
+
+// tell takes the addresses of the control instances as the leader tells them.
+func (l *link) tell(addresses []string) {
+	var told []netip.AddrPort
+	for _, text := range addresses {
+		address, err := netip.ParseAddrPort(text)
+		if err != nil {
+			l.daemon.logger.Warn().Err(err).Str("address", text).Msg("link: address of a control instance not understood")
+			continue
+		}
+		told = append(told, address)
+	}
+	if len(told) == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.told = told
+}
+
 // attach serves one session with the control instance at address, and returns where to go next.
 func (l *link) attach(ctx context.Context, address netip.AddrPort) netip.AddrPort {
 	opening, cancel := context.WithTimeout(ctx, confirmTimeout)
--- a/internal/daemon/linkreceive.go
+++ b/internal/daemon/linkreceive.go
@@ -63,6 +63,7 @@
 		return
 	}
 	d := s.link.daemon
+	s.link.tell(confirmed.GetControlAddresses())
 	d.clock.Observe(time.Now(), message.DecodeStamp(confirmed.GetStamp()))
 	d.view.Confirm(heartbeat.at, confirmed.GetRevision())
 	s.link.wanted.setKnown(heartbeat.services)
--- a/internal/daemon/linksession.go
+++ b/internal/daemon/linksession.go
@@ -81,6 +81,7 @@
 	}
 	_ = s.stream.SetDeadline(time.Time{})
 	s.link.daemon.quarantine.Reset()
+	s.link.tell(first.GetAttached().GetControlAddresses())
 	s.link.attached(first.GetAttached().GetLeader())
 	return netip.AddrPort{}, s.serve(ctx)
 }
@@ -219,7 +220,7 @@
 // stateLeft is the announced state of a backend server that is gone.
 const stateLeft = "left"
 
-func (s *linkSession) announceMessage(said announcement, incarnation uint64, state string) *peerpb.DaemonMessage {
+func (s *linkSession) announceMessage(said Announcement, incarnation uint64, state string) *peerpb.DaemonMessage {
 	d := s.link.daemon
 	announce := message.EncodeTarget(target.Target{
 		Name:          said.Name,
--- a/internal/daemon/local.go
+++ b/internal/daemon/local.go
@@ -1,16 +1,18 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"sync/atomic"
 	"time"
 
+	"sapphirespread.example/internal/backend/connection"
+	"sapphirespread.example/internal/daemon/dialect"
 	"sapphirespread.example/priority"
 	"sapphirespread.example/refusal"
 )
@@ -42,6 +44,9 @@
 	if d.refusing.Load() {
 		return refuse(refusal.Draining, "the instance is stopping")
 	}
+	if d.backend.refuses(time.Now()) {
+		return refuse(refusal.Draining, "the backend server is leaving")
+	}
 	if d.quarantined(c) {
 		return refuse(refusal.Quarantined, "")
 	}
@@ -52,7 +57,7 @@
 type localRun struct {
 	daemon      *Daemon
 	call        *call
-	said        announcement
+	said        Announcement
 	incarnation uint64
 	admittedAt  time.Time
 	done        func(callReport)
@@ -71,7 +76,7 @@
 
 // start claims the run where it may not be repeated, and sends the request.
 func (r *localRun) start(ctx context.Context) (*answer, *attemptError) {
-	if !r.call.repeatable {
+	if r.call.claimed {
 		claim, replay, refused := r.daemon.claim(ctx, r.call)
 		if replay != nil || refused != nil {
 			r.finish(true, "")
@@ -113,31 +118,47 @@
 		return nil, r.giveUp(refuse(refusal.ClaimUnavailable, "the claim was granted too late"))
 	}
 	var connected atomic.Bool
-	request, err := r.request(ctx, func() {
-		connected.Store(true)
-		if r.claim != nil {
-			r.claim.start(startsAt)
-		}
-	})
+	facts := r.facts()
+	request, err := r.request(ctx, facts)
 	if err != nil {
 		return nil, r.giveUp(refuse(refusal.MalformedRequest, err.Error()))
 	}
-	response, err := r.daemon.backend.transport.RoundTrip(request)
+	response, err := r.daemon.backend.connections.Do(ctx, r.said.Address, connection.Exchange{
+		Request: request,
+		Sent: func() {
+			connected.Store(true)
+			if r.claim != nil {
+				r.claim.start(startsAt)
+			}
+		},
+		Own: func(status int, header http.Header) bool {
+			return r.daemon.dialect.Judge(status, header, facts) != dialect.Foreign
+		},
+	})
 	if err != nil {
 		return nil, r.failed(ctx, err, connected.Load())
 	}
-	return r.answer(response), nil
+	return r.judge(ctx, response, facts)
 }
 
-// request makes the request to the backend server; connected is called before its first byte is sent.
-func (r *localRun) request(ctx context.Context, connected func()) (*http.Request, error) {
+// facts are what the backend server is told.
+func (r *localRun) facts() dialect.Facts {
 	c := r.call
-	body, err := c.body.open()
-	if err != nil {
-		return nil, err
+	return dialect.Facts{
+		RequestID:      c.wholeID,
+		Workspace:      c.workspace,
+		CallerService:  c.callerService,
+		Target:         r.said.Name,
+		Priority:       c.priority,
+		Remaining:      c.remaining(time.Now()),
+		CallToken:      r.token,
+		IdempotencyKey: c.idempotencyKey,
 	}
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected() }}
-	ctx = httptrace.WithClientTrace(ctx, trace)
+}
+
+// request makes the request to the backend server.
+func (r *localRun) request(ctx context.Context, facts dialect.Facts) (*http.Request, error) {
+	c := r.call
 	request := &http.Request{
 		Method:        c.head.method,
 		URL:           c.head.url(httpScheme, r.said.Address.String()),
@@ -147,19 +168,20 @@
 		ProtoMinor:    1,
 		Header:        c.head.header.Clone(),
 		ContentLength: c.head.contentLength,
+		Body:          http.NoBody,
+	}
+	if !c.bodyless() {
+		body, err := c.body.open()
+		if err != nil {
+			return nil, err
+		}
+		request.Body = io.NopCloser(body)
+		setTrailers(request, c)
 	}
-	// The transport repeats by itself only a request whose body it can open again.
-	request.Body = io.NopCloser(onceReader{body})
-	setTrailers(request, c)
-	r.setHeaders(request.Header)
+	r.daemon.dialect.Tell(request.Header, facts)
 	return request.WithContext(ctx), nil
 }
 
-// onceReader hides all but Read, so that the transport cannot tell an empty body from another.
-type onceReader struct {
-	io.Reader
-}
-
 func setTrailers(request *http.Request, c *call) {
 	if len(c.head.trailerNames) == 0 {
 		return
@@ -190,24 +212,6 @@
 	return n, err
 }
 
-func (r *localRun) setHeaders(header http.Header) {
-	c := r.call
-	header[headerCallToken] = []string{r.token}
-	header[headerRequestID] = []string{c.wholeID}
-	header[headerPriority] = []string{strconv.Itoa(c.priority)}
-	remaining := max(c.remaining(time.Now()).Milliseconds(), 0)
-	header[headerDeadline] = []string{strconv.FormatInt(remaining, 10)}
-	if c.workspace != "" {
-		header[headerWorkspace] = []string{c.workspace}
-	}
-	if c.idempotencyKey != "" {
-		header[headerIdempotencyKey] = []string{c.idempotencyKey}
-	}
-	if _, given := header["User-Agent"]; !given {
-		header["User-Agent"] = []string{""}
-	}
-}
-
 // failed ends a run whose request got no answer.
 func (r *localRun) failed(ctx context.Context, err error, connected bool) *attemptError {
 	if !connected {
@@ -260,19 +264,56 @@
 	}
 }
 
-func (r *localRun) answer(response *http.Response) *answer {
+// judge passes on a whole answer, and tells what another one means.
+func (r *localRun) judge(ctx context.Context, response *http.Response, facts dialect.Facts) (*answer, *attemptError) {
+	verdict := r.daemon.dialect.Judge(response.StatusCode, response.Header, facts)
+	if verdict == dialect.Whole {
+		return r.answer(ctx, response)
+	}
+	status := "answered " + strconv.Itoa(response.StatusCode)
+	_, _ = io.CopyN(io.Discard, response.Body, maxKeptBodyBytes)
+	_ = response.Body.Close()
+	switch verdict {
+	case dialect.Full:
+		return nil, r.giveUp(refuse(refusal.Overloaded, "the backend server has no room: "+status))
+	case dialect.Misdirected:
+		r.daemon.backend.crashed(r.incarnation)
+		return nil, r.giveUp(refuse(refusal.TargetUnreachable, "another backend server is there: "+status))
+	default:
+		r.finishClaimUnknown()
+		r.finish(false, "")
+		return nil, refuse(refusal.TargetFailed, "the answer can't be passed on: "+status)
+	}
+}
+
+// answer returns the backend server's answer. A short one is read first, so that one that is cut can be asked for again.
+func (r *localRun) answer(ctx context.Context, response *http.Response) (*answer, *attemptError) {
 	if response.StatusCode < http.StatusInternalServerError {
 		r.daemon.deeper.answered(r.call)
 	}
-	header := cloneForward(response.Header)
+	header := r.daemon.dialect.Answer(response.Header)
 	body := &localBody{run: r, response: response, header: header}
-	return &answer{
+	got := &answer{
 		status:        response.StatusCode,
 		header:        header,
 		contentLength: response.ContentLength,
 		trailerNames:  trailerNames(response.Trailer),
 		body:          body,
 	}
+	if response.ContentLength < 0 || response.ContentLength > maxKeptBodyBytes || len(got.trailerNames) > 0 {
+		return got, nil
+	}
+	content := make([]byte, response.ContentLength)
+	if _, err := io.ReadFull(body, content); err != nil {
+		kind := r.failureKind(ctx)
+		_ = body.Close()
+		return nil, refuse(kind, "reading the answer: "+err.Error())
+	}
+	_, _ = body.Read(nil)
+	body.end(true)
+	_ = response.Body.Close()
+	got.body = storedBody{bytes.NewReader(content)}
+	return got, nil
 }
 
 func (r *localRun) finishClaimUnknown() {
--- a/internal/daemon/option.go
+++ b/internal/daemon/option.go
@@ -3,8 +3,12 @@
 import (
 	"crypto/tls"
 	"net"
+	"net/http"
+	"net/netip"
 
 	"github.com/rs/zerolog"
+
+	"sapphirespread.example/internal/daemon/dialect"
 )
 
 // An Option changes how a Daemon runs.
@@ -25,6 +29,22 @@
 	return func(d *Daemon) { d.listeners = listeners }
 }
 
+// WithDialect sets how callers and the backend server speak, in place of the project's own headers.
+func WithDialect(spoken dialect.Dialect) Option {
+	return func(d *Daemon) { d.dialect = spoken }
+}
+
+// WithServer makes the daemon serve one more HTTP address.
+func WithServer(address netip.AddrPort, handler func(*Daemon) http.Handler) Option {
+	return func(d *Daemon) { d.extra = append(d.extra, extraServer{address, handler}) }
+}
+
+// An extraServer is an address that the daemon serves beside its own.
+type extraServer struct {
+	address netip.AddrPort
+	handler func(*Daemon) http.Handler
+}
+
 // Listeners are the sockets that a daemon accepts on.
 type Listeners struct {
 	Callers   net.Listener
--- /dev/null
+++ b/internal/daemon/owndialect.go
@@ -0,0 +1,81 @@
+package daemon
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"sapphirespread.example/internal/daemon/dialect"
+	"sapphirespread.example/refusal"
+	"sapphirespread.example/retry"
+)
+
+// ownDialect is the project's own: its headers, and refusals with a JSON body.
+type ownDialect struct{}
+
+var _ dialect.Dialect = ownDialect{}
+
+// Arrive takes the key out of header.
+func (ownDialect) Arrive(header http.Header) dialect.Arrival {
+	return dialect.Arrival{Key: takeKey(header)}
+}
+
+// Forward leaves out the project's own headers and those of one connection.
+func (ownDialect) Forward(header http.Header) http.Header { return cloneForward(header) }
+
+// Answer leaves out the project's own headers and those of one connection.
+func (ownDialect) Answer(header http.Header) http.Header { return cloneForward(header) }
+
+// Tell sets the headers that a backend server needs to make sub-calls.
+func (ownDialect) Tell(header http.Header, facts dialect.Facts) {
+	header[headerCallToken] = []string{facts.CallToken}
+	header[headerRequestID] = []string{facts.RequestID}
+	header[headerPriority] = []string{strconv.Itoa(facts.Priority)}
+	header[headerDeadline] = []string{strconv.FormatInt(max(facts.Remaining.Milliseconds(), 0), 10)}
+	if facts.Workspace != "" {
+		header[headerWorkspace] = []string{facts.Workspace}
+	}
+	if facts.IdempotencyKey != "" {
+		header[headerIdempotencyKey] = []string{facts.IdempotencyKey}
+	}
+	if _, given := header["User-Agent"]; !given {
+		header["User-Agent"] = []string{""}
+	}
+}
+
+// Judge takes each answer for whole: backend servers of this dialect do not name the request.
+func (ownDialect) Judge(int, http.Header, dialect.Facts) dialect.Verdict { return dialect.Whole }
+
+// A refusalBody is the body of a refusal.
+type refusalBody struct {
+	Kind      refusal.Kind     `json:"kind"`
+	RunState  refusal.RunState `json:"run-state"`
+	Retryable bool             `json:"retryable"`
+	Detail    string           `json:"detail"`
+}
+
+// Refuse writes the answer of the closed table.
+func (ownDialect) Refuse(w http.ResponseWriter, refused dialect.Refusal) {
+	said := refusal.AnswerTo(refused.Kind)
+	body := refusalBody{Kind: refused.Kind, RunState: refusal.Unknown, Retryable: said.Retryable, Detail: said.Detail}
+	if refused.NotRun {
+		body.RunState = refusal.NotRun
+	}
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(headerRefusal, string(refused.Kind))
+	header.Set(headerRunState, string(body.RunState))
+	if said.Retryable {
+		setRetryAfter(header, refused.RetryAfter)
+	}
+	w.WriteHeader(said.Status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func setRetryAfter(header http.Header, base time.Duration) {
+	after := retry.After(newRandom(), base)
+	seconds := max(int64((after+time.Second-1)/time.Second), 1)
+	header.Set("Retry-After", strconv.FormatInt(seconds, 10))
+	header.Set(headerRetryAfterMs, strconv.FormatInt(after.Milliseconds(), 10))
+}
--- a/internal/daemon/remote.go
+++ b/internal/daemon/remote.go
@@ -96,6 +96,8 @@
 		RequestHash:       c.requestHash[:],
 		Depth:             int32(c.depth),
 		Repeatable:        c.repeatable,
+		Nested:            c.nested,
+		CallerService:     c.callerService,
 		TrailerNames:      c.head.trailerNames,
 	}
 }
--- a/internal/daemon/respond.go
+++ b/internal/daemon/respond.go
@@ -1,50 +1,22 @@
 package daemon
 
 import (
-	"encoding/json"
 	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"time"
 
+	"sapphirespread.example/internal/daemon/dialect"
 	"sapphirespread.example/refusal"
-	"sapphirespread.example/retry"
 )
 
-// A refusalBody is the body of a refusal.
-type refusalBody struct {
-	Kind      refusal.Kind     `json:"kind"`
-	RunState  refusal.RunState `json:"run-state"`
-	Retryable bool             `json:"retryable"`
-	Detail    string           `json:"detail"`
-}
-
-// refuseCaller writes the answer of the closed table for refused.
-func (d *Daemon) refuseCaller(w http.ResponseWriter, refused *attemptError) {
+// refuseCaller answers a request that no backend server answered.
+func (d *Daemon) refuseCaller(w http.ResponseWriter, requestID string, refused *attemptError) {
 	d.counters.refuse(refused.kind)
-	said := refusal.AnswerTo(refused.kind)
-	body := refusalBody{Kind: refused.kind, RunState: refusal.Unknown, Retryable: said.Retryable, Detail: said.Detail}
-	if refused.notRun {
-		body.RunState = refusal.NotRun
-	}
-	header := w.Header()
-	header.Set("Content-Type", "application/json")
-	header.Set(headerRefusal, string(refused.kind))
-	header.Set(headerRunState, string(body.RunState))
-	if said.Retryable {
-		setRetryAfter(header, refused.retryAfter)
-	}
-	w.WriteHeader(said.Status)
-	_ = json.NewEncoder(w).Encode(body)
-}
-
-func setRetryAfter(header http.Header, base time.Duration) {
-	after := retry.After(newRandom(), base)
-	seconds := max(int64((after+time.Second-1)/time.Second), 1)
-	header.Set("Retry-After", strconv.FormatInt(seconds, 10))
-	header.Set(headerRetryAfterMs, strconv.FormatInt(after.Milliseconds(), 10))
+	d.dialect.Refuse(w, dialect.Refusal{
+		Kind: refused.kind, NotRun: refused.notRun, RetryAfter: refused.retryAfter, RequestID: requestID,
+	})
 }
 
 func newRandom() *rand.Rand {
--- a/internal/daemon/subcall.go
+++ b/internal/daemon/subcall.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 
 	"sapphirespread.example/configuration"
@@ -24,12 +25,12 @@
 	takeKey(r.Header)
 	parent, known := d.tokens.find(token)
 	if !known || parent.ended.Load() {
-		d.refuseCaller(w, refuse(refusal.CallTokenInvalid, ""))
+		d.refuseCaller(w, "", refuse(refusal.CallTokenInvalid, ""))
 		return
 	}
 	c, refused := d.enterSubcall(r, parent, name)
 	if refused != nil {
-		d.refuseCaller(w, refused)
+		d.refuseCaller(w, parent.wholeID, refused)
 		return
 	}
 	part := parent.allowance.Move((parent.allowance.Left() + 1) / 2)
@@ -54,8 +55,11 @@
 	if !matched.Open && !allows(matched, parent.workspace) {
 		return nil, refuse(refusal.NoRoute, "the workspace has no such route")
 	}
-	c := newCall(r, matched)
+	c := d.newCall(r, matched)
 	c.wholeID = parent.wholeID
+	c.service = matched.ServiceFor(xxhash.Sum64String(c.wholeID))
+	c.callerService = d.settings.Service
+	c.nested = true
 	c.workspace = parent.workspace
 	c.share = parent.share
 	c.shed = parent.shed
@@ -65,7 +69,7 @@
 	if parent.deadline.Before(c.deadline) {
 		c.deadline = parent.deadline
 	}
-	if !c.repeatable {
+	if c.claimed {
 		c.idempotencyKey = deriveKey(r, parent, matched, name)
 	}
 	return c, nil
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -106,6 +106,8 @@
 	c.between("timeouts.body-stall", t.BodyStall, time.Millisecond, maxTimeout)
 	c.between("timeouts.dial", t.Dial, time.Millisecond, maxTimeout)
 	c.between("timeouts.drain", t.Drain, time.Millisecond, maxTimeout)
+	c.between("timeouts.callers-notice", t.CallersNotice, 0, t.Drain)
+	c.between("timeouts.announcement", t.Announcement, time.Millisecond, maxTimeout)
 }
 
 func (c *checker) log(l Log) {
--- a/internal/settings/checkprocess.go
+++ b/internal/settings/checkprocess.go
@@ -60,6 +60,9 @@
 	c.advertised(s.PeerListen, s.PeerAdvertise)
 	c.dataFolder(s.DataFolder)
 	c.members(s)
+	if s.Voters < 0 || s.Voters > maxMembers || s.Voters > 0 && s.Voters%2 == 0 {
+		c.report("voters", fmt.Sprint(s.Voters), "0, 1, 3, 5 or 7")
+	}
 	c.between("heartbeat", s.Heartbeat, minHeartbeat, time.Minute)
 	c.between("election-timeout", s.ElectionTimeout, heartbeatsPerElect*s.Heartbeat, maxTimeout)
 	c.timeouts(s.Timeouts)
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -21,11 +21,13 @@
 	DataFolder      string         `toml:"data-folder"`
 	Members         []Member       `toml:"members"`
 	Join            bool           `toml:"join"`
-	ElectionTimeout time.Duration  `toml:"election-timeout"`
-	Heartbeat       time.Duration  `toml:"heartbeat"`
-	Timeouts        Timeouts       `toml:"timeouts"`
-	Log             Log            `toml:"log"`
-	TLS             TLS            `toml:"tls"`
+	// Voters makes the leader admit announced instances and keep that many voters; zero leaves members to operators.
+	Voters          int           `toml:"voters"`
+	ElectionTimeout time.Duration `toml:"election-timeout"`
+	Heartbeat       time.Duration `toml:"heartbeat"`
+	Timeouts        Timeouts      `toml:"timeouts"`
+	Log             Log           `toml:"log"`
+	TLS             TLS           `toml:"tls"`
 }
 
 // LoadControl reads and checks the settings file of a control instance; the error is configuration.Problems with all that is wrong.
--- a/internal/settings/daemon.go
+++ b/internal/settings/daemon.go
@@ -9,9 +9,11 @@
 
 // Daemon is the settings of a daemon.
 type Daemon struct {
-	Name            string           `toml:"name"`
-	Cluster         string           `toml:"cluster"`
-	FailureDomain   string           `toml:"failure-domain"`
+	Name          string `toml:"name"`
+	Cluster       string `toml:"cluster"`
+	FailureDomain string `toml:"failure-domain"`
+	// Service is that of the backend server beside the daemon, where its backend servers are told who calls them.
+	Service         string           `toml:"service"`
 	CallersListen   netip.AddrPort   `toml:"callers-listen"`
 	PeerListen      netip.AddrPort   `toml:"peer-listen"`
 	PeerAdvertise   netip.AddrPort   `toml:"peer-advertise"`
--- a/internal/store/loop.go
+++ b/internal/store/loop.go
@@ -148,6 +148,7 @@
 		cluster:    s.replica.HardState().Cluster,
 		generation: s.replica.HardState().Lineage.Generation,
 		applied:    s.replica.Applied(),
+		members:    s.replica.Members(),
 		snapshots:  s.snapshots.installs,
 	}
 	s.view.Store(next)
--- a/internal/store/settings.go
+++ b/internal/store/settings.go
@@ -31,7 +31,9 @@
 	// Address is where members reach this instance; by default that of its name in Members.
 	Address netip.AddrPort
 	// Join keeps an instance with an empty data folder from founding a cluster.
-	Join            bool
+	Join bool
+	// Voters is how many voters an open membership has, see replica.WithOpenMembership; zero leaves members to operators.
+	Voters          int
 	ElectionTimeout time.Duration
 	Heartbeat       time.Duration
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -93,6 +93,7 @@
 	opts := append([]replica.Option{
 		replica.WithPeers(s.settings.peers()...),
 		replica.WithJoin(s.settings.Join),
+		replica.WithOpenMembership(s.settings.Voters),
 		replica.WithElectionTimeout(s.settings.ElectionTimeout),
 		replica.WithHeartbeat(s.settings.Heartbeat),
 	}, s.options.replica...)
@@ -116,6 +117,11 @@
 	return v.leader.Name, v.leader.Address, v.known
 }
 
+// Members returns the members by the newest entry that this instance holds.
+func (s *Store) Members() replica.Members {
+	return s.view.Load().members
+}
+
 // Lease reports whether this instance may answer reads at now as the leader; no other instance can.
 func (s *Store) Lease(now time.Time) bool {
 	v := s.view.Load()
--- a/internal/store/view.go
+++ b/internal/store/view.go
@@ -17,6 +17,7 @@
 	cluster    uint64
 	generation uint64
 	applied    uint64
+	members    replica.Members
 	snapshots  uint64
 }
 
