--- a/configuration/view.go
+++ b/configuration/view.go
@@ -46,6 +46,15 @@
 	return state.snapshot, fresh
 }
 
+// ConfirmedAgo returns how long before now the confirmation that counts was asked for, or a negative time for none.
+func (v *View) ConfirmedAgo(now time.Time) time.Duration {
+	confirmed := v.current.Load().confirmed
+	if confirmed.IsZero() {
+		return -1
+	}
+	return now.Sub(confirmed)
+}
+
 // Revision returns the revision held.
 func (v *View) Revision() uint64 {
 	return v.current.Load().snapshot.Revision
--- a/internal/cmd/platformcmd.go
+++ b/internal/cmd/platformcmd.go
@@ -7,6 +7,7 @@
 
 	"sapphirespread.example/internal/control"
 	"sapphirespread.example/internal/daemon"
+	"sapphirespread.example/internal/logs/outlet"
 	"sapphirespread.example/platform"
 )
 
@@ -26,10 +27,11 @@
 
 func platformProcess(name, usage string, run func(context.Context, platform.Node, bool) error) *cli.Command {
 	return &cli.Command{
-		Name:      name,
-		Usage:     usage,
-		ArgsUsage: "[SETTINGS]",
-		Flags:     []cli.Flag{checkFlag()},
+		Name:        name,
+		Usage:       usage,
+		ArgsUsage:   "[SETTINGS]",
+		Description: "Example:\n   sapphirespread platform " + name + " --check node.yaml",
+		Flags:       []cli.Flag{checkFlag()},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			paths, err := arguments(c, 0, 1)
 			if err != nil {
@@ -53,7 +55,9 @@
 	if err != nil || checkOnly {
 		return err
 	}
-	logger, err := newLogger(a.stdout, loaded.Log, loaded.Name)
+	out := outlet.New(a.stdout)
+	defer out.Close()
+	logger, err := newLogger(out, loaded.Log, loaded.Name)
 	if err != nil {
 		return err
 	}
@@ -67,7 +71,9 @@
 	if err != nil || checkOnly {
 		return err
 	}
-	logger, err := newLogger(a.stdout, loaded.Log, loaded.Name)
+	out := outlet.New(a.stdout)
+	defer out.Close()
+	logger, err := newLogger(out, loaded.Log, loaded.Name)
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -44,6 +44,7 @@
 	parent         *call
 	mu             sync.Mutex
 	made           []priority.Callee
+	trail          trail
 }
 
 // A requestHead is what a request says before its body.
@@ -88,6 +89,14 @@
 	return c.made
 }
 
+// sentHash returns the hash that the target compares with those of resends, or nil where the call needs no claim.
+func (c *call) sentHash() []byte {
+	if !c.claimed {
+		return nil
+	}
+	return c.requestHash[:]
+}
+
 // bodyless reports whether the request is sent without any frame for its body.
 func (c *call) bodyless() bool {
 	return c.head.contentLength == 0 && len(c.head.trailerNames) == 0
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -23,7 +24,9 @@
 		if refused != nil {
 			return nil, refused
 		}
+		sentAt := time.Now()
 		answer, failed := d.attempt(ctx, c, chosen)
+		c.trail.noteAttempt(attemptNote{target: chosen.Target.Name, shed: chosen.Shed, outcome: outcomeOf(answer, failed), took: time.Since(sentAt)})
 		if failed == nil {
 			return answer, nil
 		}
@@ -41,6 +44,13 @@
 	}
 }
 
+func outcomeOf(got *answer, failed *attemptError) string {
+	if failed != nil {
+		return failed.Error()
+	}
+	return strconv.Itoa(got.status)
+}
+
 func sleep(ctx context.Context, duration time.Duration) bool {
 	timer := time.NewTimer(duration)
 	defer timer.Stop()
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -40,7 +40,10 @@
 		if refused := d.shed(c); refused != nil || c.workspace == "" {
 			return refused
 		}
-		return d.tokenWait.spend(ctx, c.workspace)
+		began := time.Now()
+		refused := d.tokenWait.spend(ctx, c.workspace)
+		c.trail.tokenWait = time.Since(began)
+		return refused
 	})
 }
 
@@ -51,7 +54,8 @@
 
 // enter identifies the workspace and the route of a caller's request.
 func (d *Daemon) enter(r *http.Request, said dialect.Arrival) (*call, *attemptError) {
-	snapshot, fresh := d.view.Current(boottime.Now())
+	now := boottime.Now()
+	snapshot, fresh := d.view.Current(now)
 	matched, refused := matchRoute(snapshot, r)
 	if refused != nil {
 		if !fresh {
@@ -60,6 +64,8 @@
 		return nil, refused
 	}
 	c := d.newCall(r, matched)
+	c.trail.revision = snapshot.Revision
+	c.trail.confirmed = d.view.ConfirmedAgo(now)
 	c.priority = priorityLevel(snapshot, matched.Priority)
 	c.wholeID = said.RequestID
 	if c.wholeID == "" {
@@ -152,6 +158,7 @@
 
 func (d *Daemon) newCall(r *http.Request, matched configuration.Route) *call {
 	return &call{
+		trail:      trail{arrivedAt: time.Now()},
 		claimed:    !matched.Repeatable && !matched.Unclaimed,
 		route:      matched.Name,
 		service:    matched.Service,
@@ -200,26 +207,26 @@
 	controller := http.NewResponseController(w)
 	r.Body = &stallReader{ReadCloser: r.Body, controller: controller, stall: d.settings.Timeouts.BodyStall, deadline: c.deadline}
 	if refused := c.takeBody(r, controller); refused != nil {
-		d.refuseCaller(w, c.wholeID, refused)
+		d.refuseCall(w, c, c.wholeID, refused)
 		return
 	}
 	if d.quarantined(c) {
-		d.refuseCaller(w, c.wholeID, refuse(refusal.Quarantined, ""))
+		d.refuseCall(w, c, c.wholeID, refuse(refusal.Quarantined, ""))
 		return
 	}
 	if refused := spend(ctx); refused != nil {
-		d.refuseCaller(w, c.wholeID, refused)
+		d.refuseCall(w, c, c.wholeID, refused)
 		return
 	}
 	answer, refused := d.dispatch(ctx, c)
 	if refused != nil {
-		d.refuseCaller(w, c.wholeID, refused)
+		d.refuseCall(w, c, c.wholeID, refused)
 		return
 	}
 	if c.parent != nil && answer.status < http.StatusInternalServerError {
 		c.parent.called(c.callee())
 	}
-	d.sendAnswer(w, answer)
+	d.sendAnswer(w, c, answer)
 }
 
 func (c *call) takeBody(r *http.Request, controller *http.ResponseController) *attemptError {
@@ -231,7 +238,9 @@
 		return refuse(refusal.MalformedRequest, "the body ended early")
 	}
 	c.body = body
-	c.requestHash = hashRequest(c)
+	if c.claimed {
+		c.requestHash = hashRequest(c)
+	}
 	c.fingerprint = quarantine.Of(
 		[]byte(c.workspace), []byte(c.head.method), []byte(c.head.path), []byte(c.head.query), body.kept,
 	)
--- a/internal/daemon/link.go
+++ b/internal/daemon/link.go
@@ -10,13 +10,12 @@
 	"time"
 
 	"sapphirespread.example/internal/peer/peerpb"
-	"sapphirespread.example/limit"
 )
 
 const (
 	kindControl      = "control"
 	heartbeatPeriod  = 500 * time.Millisecond
-	askPeriod        = limit.PollInterval
+	askPeriod        = 10 * time.Millisecond // a small part of limit.DefaultPrefetch; a call that waits is asked for at once
 	quietAskPeriod   = 100 * time.Millisecond
 	quietAfter       = time.Second
 	confirmTimeout   = 1500 * time.Millisecond
--- a/internal/daemon/local.go
+++ b/internal/daemon/local.go
@@ -107,7 +107,9 @@
 func (r *localRun) send(ctx context.Context) (*answer, *attemptError) {
 	ctx, r.cancel = context.WithCancel(ctx)
 	r.call.running = ctx
-	r.token = r.daemon.tokens.issue(r.call)
+	if r.daemon.listeners.Subcalls != nil {
+		r.token = r.daemon.tokens.issue(r.call)
+	}
 	watched, refused := r.daemon.watchRun(ctx, r.call, r.said.Name)
 	if refused != nil {
 		return nil, r.giveUp(refused)
--- a/internal/daemon/remote.go
+++ b/internal/daemon/remote.go
@@ -93,7 +93,7 @@
 		ContentLength:     c.head.contentLength,
 		IdempotencyKey:    c.idempotencyKey,
 		Fingerprint:       c.fingerprint[:],
-		RequestHash:       c.requestHash[:],
+		RequestHash:       c.sentHash(),
 		Depth:             int32(c.depth),
 		Repeatable:        c.repeatable,
 		Nested:            c.nested,
--- a/internal/daemon/respond.go
+++ b/internal/daemon/respond.go
@@ -13,7 +13,13 @@
 
 // refuseCaller answers a request that no backend server answered.
 func (d *Daemon) refuseCaller(w http.ResponseWriter, requestID string, refused *attemptError) {
+	d.refuseCall(w, nil, requestID, refused)
+}
+
+// refuseCall is refuseCaller for a request whose route and caller are known.
+func (d *Daemon) refuseCall(w http.ResponseWriter, c *call, requestID string, refused *attemptError) {
 	d.counters.refuse(refused.kind)
+	d.logRefused(c, requestID, refused)
 	d.dialect.Refuse(w, dialect.Refusal{
 		Kind: refused.kind, NotRun: refused.notRun, RetryAfter: refused.retryAfter, RequestID: requestID,
 	})
@@ -24,7 +30,7 @@
 }
 
 // sendAnswer streams the answer to the caller; one that is cut short aborts the connection.
-func (d *Daemon) sendAnswer(w http.ResponseWriter, a *answer) {
+func (d *Daemon) sendAnswer(w http.ResponseWriter, c *call, a *answer) {
 	defer func() { _ = a.body.Close() }()
 	header := w.Header()
 	for name, values := range a.header {
@@ -39,12 +45,14 @@
 	w.WriteHeader(a.status)
 	if err := copyAnswer(w, a); err != nil {
 		d.counters.refuse(refusal.AnswerCut)
+		d.logAnswered(c, a.status, false)
 		panic(http.ErrAbortHandler)
 	}
 	for name, values := range a.body.Trailer() {
 		header[name] = values
 	}
 	d.counters.answered.Add(1)
+	d.logAnswered(c, a.status, true)
 }
 
 // copyAnswer flushes after each read where the answer's length is not known beforehand.
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -109,6 +109,7 @@
 	done := func(report callReport) { s.report = report }
 	answer, refused := s.daemon.runLocal(ctx, s.call, s.target, s.starts, done)
 	if refused != nil {
+		s.daemon.logTurnedAway(s.call, s.target, refused)
 		s.sendRefusal(refused)
 		return
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -149,7 +149,7 @@
 	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
 		return nil, Identity{}, err
 	}
-	session, err := yamux.Server(conn, sessionConfig())
+	session, err := yamux.Server(newFrameConn(conn), sessionConfig())
 	if err != nil {
 		return nil, Identity{}, err
 	}
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -32,7 +32,7 @@
 
 // dialSession makes a session on conn and introduces this process; it closes conn where that fails.
 func dialSession(conn net.Conn, self Identity) (*yamux.Session, Identity, error) {
-	session, err := yamux.Client(conn, sessionConfig())
+	session, err := yamux.Client(newFrameConn(conn), sessionConfig())
 	if err != nil {
 		_ = conn.Close()
 		return nil, Identity{}, err
