--- a/internal/daemon/admitter.go
+++ b/internal/daemon/admitter.go
@@ -9,6 +9,10 @@
 	"sapphirespread.example/refusal"
 )
 
+// answerMargin is the part of a deadline in which a call that still waits is refused, so that its sender hears in time that
+// it has not run. It is some times the way between two failure domains.
+const answerMargin = 10 * time.Millisecond
+
 // An admitter lets calls through to the backend server as its admission decides.
 type admitter struct {
 	mu        sync.Mutex
@@ -28,15 +32,18 @@
 func (a *admitter) enter(ctx context.Context, c *call) *attemptError {
 	verdict := make(chan priority.Verdict, 1)
 	a.offer(c, verdict)
+	last := time.NewTimer(c.remaining(time.Now()) - answerMargin)
+	defer last.Stop()
 	select {
 	case v := <-verdict:
 		return refusalOf(v)
+	case <-last.C:
 	case <-ctx.Done():
 	}
 	if a.cancel(c.admissionID, verdict) {
 		a.leave(c.admissionID, priority.Result{Failed: true})
 	}
-	if time.Now().Before(c.deadline) {
+	if c.remaining(time.Now()) > answerMargin {
 		return refuse(refusal.Cancelled, "the caller left before the request ran")
 	}
 	return refuse(refusal.DeadlineUnreachable, "the deadline passed in the queue")
@@ -64,6 +71,7 @@
 		Deadline:  c.deadline,
 		Shed:      c.shed,
 		Nested:    c.nested,
+		Objective: c.objective,
 	}))
 }
 
--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -28,6 +28,7 @@
 	service        string
 	priority       int
 	deadline       time.Time
+	objective      time.Duration
 	repeatable     bool
 	claimed        bool // may run only with a claim
 	nested         bool // made by a backend server while it ran another request
--- a/internal/daemon/decisions.go
+++ b/internal/daemon/decisions.go
@@ -82,7 +82,7 @@
 	known := target.NewTable()
 	choosing := target.NewChooser(known, target.WithFailureDomain(d.settings.FailureDomain), target.WithDaemon(d.settings.Name))
 	admitting := priority.NewAdmission()
-	held := limit.NewHolder()
+	held := limit.NewHolder(limit.WithCoasting(d.settings.Coasting))
 	list, watched := quarantine.NewList(), quarantine.NewWatch()
 	if d.recorder == nil {
 		d.table, d.chooser, d.holder = known, choosing, held
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -122,6 +122,7 @@
 		service:        c.service,
 		priority:       c.priority,
 		deadline:       c.deadline,
+		objective:      c.objective,
 		repeatable:     c.repeatable,
 		claimed:        c.claimed,
 		nested:         c.nested,
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -41,7 +41,7 @@
 			return refused
 		}
 		began := time.Now()
-		refused := d.tokenWait.spend(ctx, c.workspace)
+		refused := d.tokenWait.spend(ctx, c.workspace, c.objective)
 		c.trail.tokenWait = time.Since(began)
 		return refused
 	})
@@ -164,6 +164,7 @@
 		service:    matched.Service,
 		repeatable: matched.Repeatable,
 		deadline:   time.Now().Add(matched.Deadline),
+		objective:  matched.Objective,
 		allowance:  retry.NewAllowance(matched.ExtraAttempts),
 		head: requestHead{
 			method:        r.Method,
--- a/internal/daemon/local.go
+++ b/internal/daemon/local.go
@@ -65,6 +65,7 @@
 	token       string
 	watched     *watchedRun
 	ended       atomic.Bool
+	errored     bool // the backend server answered with a failure
 	cancel      context.CancelFunc
 }
 
@@ -293,6 +294,7 @@
 	if response.StatusCode < http.StatusInternalServerError {
 		r.daemon.deeper.answered(r.call)
 	}
+	r.errored = response.StatusCode >= http.StatusInternalServerError
 	header := r.daemon.dialect.Answer(response.Header)
 	body := &localBody{run: r, response: response, header: header}
 	got := &answer{
@@ -342,7 +344,7 @@
 		r.watched.end(!early && crashed == "")
 	}
 	serviceTime := time.Since(r.admittedAt)
-	r.daemon.admitter.leave(r.call.admissionID, priority.Result{Latency: serviceTime, Failed: early || crashed != ""})
+	r.daemon.admitter.leave(r.call.admissionID, priority.Result{Latency: serviceTime, Failed: early || r.errored || crashed != ""})
 	r.done(r.daemon.reportOf(r.call, crashed))
 }
 
--- a/internal/daemon/remote.go
+++ b/internal/daemon/remote.go
@@ -97,6 +97,7 @@
 		Depth:             int32(c.depth),
 		Repeatable:        c.repeatable,
 		Nested:            c.nested,
+		ObjectiveUs:       c.objective.Microseconds(),
 		CallerService:     c.callerService,
 		TrailerNames:      c.head.trailerNames,
 	}
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -32,6 +32,7 @@
 		service:        head.GetService(),
 		priority:       int(head.GetPriority()),
 		deadline:       now.Add(time.Duration(head.GetRemainingUs()) * time.Microsecond),
+		objective:      time.Duration(head.GetObjectiveUs()) * time.Microsecond,
 		repeatable:     head.GetRepeatable(),
 		claimed:        !head.GetRepeatable() && head.GetIdempotencyKey() != "",
 		nested:         head.GetNested(),
--- a/internal/daemon/tokenwait.go
+++ b/internal/daemon/tokenwait.go
@@ -15,6 +15,11 @@
 	maxTokenWait  = 3 * time.Second
 	tokensACall   = 1
 	deadlineParts = 2
+	// objectiveParts is the part of a latency objective that a call may wait for a token: what waits longer is better
+	// told to come back.
+	objectiveParts = 8
+	// minTokenWait bears a few round trips to the leader.
+	minTokenWait = 30 * time.Millisecond
 )
 
 // A tokenWait spends the rate of workspaces, and makes calls wait in a queue a workspace for grants.
@@ -37,13 +42,13 @@
 }
 
 // spend takes one token of workspace, waiting for a grant within the deadline of ctx.
-func (t *tokenWait) spend(ctx context.Context, workspace string) *attemptError {
+func (t *tokenWait) spend(ctx context.Context, workspace string, objective time.Duration) *attemptError {
 	now := boottime.Now()
 	t.spends.Add(1)
 	if t.queueLength(workspace) == 0 && t.holder.Spend(now, workspace, tokensACall) {
 		return nil
 	}
-	bound := waitBound(ctx)
+	bound := waitBound(ctx, objective)
 	ctx, cancel := context.WithTimeout(ctx, bound)
 	defer cancel()
 	waiter := &tokenWaiter{granted: make(chan bool, 1), until: now.Add(bound)}
@@ -63,12 +68,15 @@
 	return t.refuse(workspace, "no token within the wait")
 }
 
-func waitBound(ctx context.Context) time.Duration {
-	deadline, bounded := ctx.Deadline()
-	if !bounded {
-		return maxTokenWait
+func waitBound(ctx context.Context, objective time.Duration) time.Duration {
+	bound := maxTokenWait
+	if objective > 0 {
+		bound = max(objective/objectiveParts, minTokenWait)
 	}
-	return min(time.Until(deadline)/deadlineParts, maxTokenWait)
+	if deadline, bounded := ctx.Deadline(); bounded {
+		bound = min(bound, time.Until(deadline)/deadlineParts)
+	}
+	return bound
 }
 
 func (t *tokenWait) refuse(workspace, detail string) *attemptError {
--- a/internal/settings/checkprocess.go
+++ b/internal/settings/checkprocess.go
@@ -24,6 +24,7 @@
 	c.advertised(d.PeerListen, d.PeerAdvertise)
 	c.controls(d.Control)
 	c.between("freshness", d.Freshness, minFreshness, maxFreshness)
+	c.between("coasting", d.Coasting, 0, maxFreshness)
 	c.timeouts(d.Timeouts)
 	c.log(d.Log)
 	c.tls(d.TLS)
--- a/internal/settings/daemon.go
+++ b/internal/settings/daemon.go
@@ -21,9 +21,11 @@
 	OperatorsListen netip.AddrPort   `toml:"operators-listen"`
 	Control         []netip.AddrPort `toml:"control"`
 	Freshness       time.Duration    `toml:"freshness"`
-	Timeouts        Timeouts         `toml:"timeouts"`
-	Log             Log              `toml:"log"`
-	TLS             TLS              `toml:"tls"`
+	// Coasting is how long workspaces may spend at their lately observed rate while no leader grants tokens.
+	Coasting time.Duration `toml:"coasting"`
+	Timeouts Timeouts      `toml:"timeouts"`
+	Log      Log           `toml:"log"`
+	TLS      TLS           `toml:"tls"`
 }
 
 // LoadDaemon reads and checks the settings file of a daemon; the error is configuration.Problems with all that is wrong.
--- a/limit/account.go
+++ b/limit/account.go
@@ -53,6 +53,7 @@
 	askAfter      time.Time
 	prefetchAfter time.Time
 	retryAfter    time.Duration
+	coasting      coasting
 }
 
 func newAccount(now time.Time, workspace string) *account {
@@ -166,6 +167,7 @@
 	observed := float64(a.spent) / elapsed.Seconds()
 	weight := float64(elapsed) / float64(elapsed+rateTimeConstant)
 	a.rate += weight * (observed - a.rate)
+	a.coasting.observe(elapsed, observed)
 	a.spent = 0
 	a.observedAt = now
 }
--- a/limit/holder.go
+++ b/limit/holder.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -15,7 +16,9 @@
 	idleAfter  time.Duration
 	askTimeout time.Duration
 	margin     float64
+	coast      time.Duration
 	lastAsk    atomic.Uint64
+	heardAt    atomic.Pointer[time.Time] // when the owner answered last
 	shards     [holderShards]shard
 }
 
@@ -39,7 +42,16 @@
 	if a == nil {
 		return tokens <= 0
 	}
-	return a.spend(now, tokens)
+	return a.spend(now, tokens) || h.coast > 0 && a.coasts(now, tokens, h.silence(now), h.coast)
+}
+
+// silence returns how long the owner has answered nothing.
+func (h *Holder) silence(now time.Time) time.Duration {
+	heardAt := h.heardAt.Load()
+	if heardAt == nil {
+		return math.MaxInt64
+	}
+	return now.Sub(*heardAt)
 }
 
 // Wait notes that a request waits for a token of the workspace.
@@ -70,6 +82,7 @@
 // Accept takes a grant in, and tells whether it brought tokens for waiting requests. A grant that answers no
 // open ask, or a second one for the same ask, is ignored.
 func (h *Holder) Accept(now time.Time, g Grant) bool {
+	h.heardAt.Store(&now)
 	a := h.shard(g.Workspace).find(g.Workspace)
 	if a == nil {
 		return false
--- a/limit/holderoption.go
+++ b/limit/holderoption.go
@@ -22,6 +22,13 @@
 	return func(h *Holder) { h.idleAfter = idle }
 }
 
+// WithCoasting lets a holder whose owner has fallen silent go on spending at the lately observed rate, until the owner
+// has been silent for that long. The tokens are not of the owner's bucket: while owners change, a window may hold that
+// much of the rate more.
+func WithCoasting(until time.Duration) HolderOption {
+	return func(h *Holder) { h.coast = until }
+}
+
 // WithAskTimeout sets after how long an unanswered ask is taken for lost; it must exceed the owner's maximum hold.
 func WithAskTimeout(timeout time.Duration) HolderOption {
 	return func(h *Holder) { h.askTimeout = timeout }
--- a/priority/admission.go
+++ b/priority/admission.go
@@ -16,6 +16,9 @@
 	nestedWaits       = 2
 	nestedSlackParts  = 4
 	nestedWaitMinimum = 10 * time.Millisecond
+	// objectiveWaits is the part of its latency objective that a request may wait; beyond it the answer is late, and
+	// its caller is better told to come back.
+	objectiveWaits = 4
 )
 
 // An Admission decides for one target which requests run, wait and are refused. The caller holds one
@@ -204,6 +207,9 @@
 // waitsUntil returns until when r may wait, zero where only its deadline counts: a nested request waits for a few
 // service times, and for a part of what it could wait, at most.
 func (a *Admission) waitsUntil(now time.Time, r *Request) time.Time {
+	if !r.Nested && r.Objective > 0 {
+		return now.Add(max(r.Objective/objectiveWaits, nestedWaitMinimum))
+	}
 	if !r.Nested {
 		return time.Time{}
 	}
--- a/priority/request.go
+++ b/priority/request.go
@@ -16,4 +16,6 @@
 	Deadline  time.Time
 	Shed      float64
 	Nested    bool
+	// Objective is the time within which an answer is worth most, zero for none.
+	Objective time.Duration
 }
