--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -63,6 +63,7 @@
 	liveness    *liveness
 	counters    *counters
 	inFlight    *inFlight
+	latencies   *latencies
 	callIDs     atomic.Uint64
 	stopping    atomic.Bool
 	refusing    atomic.Bool
@@ -82,6 +83,7 @@
 		tokens:      newTokenTable(),
 		counters:    newCounters(),
 		inFlight:    newInFlight(),
+		latencies:   newLatencies(),
 	}
 	for _, option := range options {
 		option(d)
--- a/internal/daemon/linksession.go
+++ b/internal/daemon/linksession.go
@@ -20,6 +20,8 @@
 const (
 	maxSentHeartbeats = 64
 	announcePeriod    = 900 * time.Millisecond
+	// farewellTimeout leaves a stopping process most of its time before it is killed.
+	farewellTimeout = 300 * time.Millisecond
 )
 
 // A linkSession is one stream to a control instance.
@@ -239,7 +241,7 @@
 
 // farewell returns unspent tokens and takes the target out before a stop.
 func (s *linkSession) farewell() error {
-	_ = s.stream.SetDeadline(time.Now().Add(confirmTimeout))
+	_ = s.stream.SetDeadline(time.Now().Add(farewellTimeout))
 	if err := s.sendReturns(s.link.daemon.holder.Drop()); err != nil {
 		return err
 	}
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -75,6 +75,7 @@
 // publishGauges adds the readings that are taken when the metrics are read.
 func (d *Daemon) publishGauges() {
 	d.counters.vars.Set("admission", expvar.Func(func() any { return d.admitter.stats(time.Now()) }))
+	d.latencies.publish(d.counters.vars)
 	d.counters.vars.Set("readiness", expvar.Func(func() any { return d.readiness(boottime.Now()) }))
 	d.counters.vars.Set("in-flight", expvar.Func(func() any { return d.inFlight.current() }))
 }
--- a/internal/daemon/trail.go
+++ b/internal/daemon/trail.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -45,6 +46,11 @@
 
 // logAnswered tells that the backend server's answer was passed on, whole or cut short.
 func (d *Daemon) logAnswered(c *call, status int, whole bool) {
+	outcome := outcomeAnswered
+	if status >= http.StatusInternalServerError || !whole {
+		outcome = outcomeErrored
+	}
+	d.latencies.record(c, outcome)
 	event := d.logger.Info()
 	if !whole {
 		event = d.logger.Warn()
@@ -57,6 +63,11 @@
 
 // logRefused tells why a request was not answered by a backend server.
 func (d *Daemon) logRefused(c *call, requestID string, refused *attemptError) {
+	if c != nil && refused.notRun {
+		d.latencies.record(c, outcomeRefused)
+	} else if c != nil {
+		d.latencies.record(c, outcomeFailed)
+	}
 	event := d.logger.Warn()
 	if event == nil {
 		return
--- a/internal/membership/target/chooser.go
+++ b/internal/membership/target/chooser.go
@@ -15,12 +15,13 @@
 	daemon        string
 	silence       time.Duration
 	slowStart     time.Duration
+	farCost       float64
 	start         atomic.Pointer[time.Time]
 }
 
 // NewChooser returns a chooser among the targets of table.
 func NewChooser(table *Table, opts ...ChooserOption) *Chooser {
-	c := &Chooser{table: table, silence: defaultSilence, slowStart: defaultSlowStart}
+	c := &Chooser{table: table, silence: defaultSilence, slowStart: defaultSlowStart, farCost: 1}
 	for _, opt := range opts {
 		opt(c)
 	}
--- a/internal/membership/target/chooseroption.go
+++ b/internal/membership/target/chooseroption.go
@@ -15,6 +15,12 @@
 	return func(c *Chooser) { c.failureDomain = name }
 }
 
+// WithFarCost sets how many times as dear a target of another failure domain is taken to be, where bytes between them are
+// paid for; 1 by default.
+func WithFarCost(times float64) ChooserOption {
+	return func(c *Chooser) { c.farCost = max(times, 1) }
+}
+
 // WithDaemon sets the chooser's own daemon, whose target is local.
 func WithDaemon(name string) ChooserOption {
 	return func(c *Chooser) { c.daemon = name }
--- /dev/null
+++ b/internal/membership/target/farcost_test.go
@@ -0,0 +1,55 @@
+package target_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"sapphirespread.example/internal/membership/target"
+	"sapphirespread.example/priority"
+)
+
+// TestFarTargetsWaitForAClearDifference offers a near and a far target under the same pressure, and then a near one with
+// more than twice the load.
+func TestFarTargetsWaitForAClearDifference(t *testing.T) {
+	table := target.NewTable()
+	chooser := target.NewChooser(table, target.WithFailureDomain("east"), target.WithFarCost(1.3))
+	var changes []target.Change
+	for name, domain := range map[string]string{"near": "east", "far": "west"} {
+		changes = append(changes, target.Change{Target: target.Target{Name: name, Service: "courts", FailureDomain: domain, State: target.Ready, Slots: 10, Incarnation: 1}})
+	}
+	if err := table.Apply(1, 0, 1, true, changes); err != nil {
+		t.Fatal(err)
+	}
+	now := time.Unix(1_700_000_000, 0)
+	random := rand.New(rand.NewPCG(1, 1))
+	for _, name := range []string{"near", "far"} {
+		for range 10 {
+			chooser.Sent(now, name)
+		}
+		// A refusal is a sign of pressure, which takes the near target's precedence away.
+		chooser.Answered(now, name, target.Observation{Latency: time.Millisecond, Kind: target.Refused})
+	}
+	share := func() int {
+		near := 0
+		for range 100 {
+			chosen, ok, _ := chooser.Choose(now, random.Uint64(), "courts", priority.Origin{}, nil)
+			if !ok {
+				t.Fatal("nothing is chosen")
+			}
+			if chosen.Target.Name == "near" {
+				near++
+			}
+		}
+		return near
+	}
+	if near := share(); near != 100 {
+		t.Errorf("under the same load %d of 100 go to the near target", near)
+	}
+	for range 16 {
+		chooser.Sent(now, "near")
+	}
+	if near := share(); near != 0 {
+		t.Errorf("under far more load %d of 100 go to the near target", near)
+	}
+}
--- a/internal/membership/target/selection.go
+++ b/internal/membership/target/selection.go
@@ -148,5 +148,8 @@
 		slots = unknownSlots
 	}
 	cost := float64(latency) * float64(m.inFlight.Load()+1) / (float64(slots) * s.chooser.weight(m, s.at))
+	if own := s.chooser.failureDomain; own != "" && m.target().FailureDomain != own {
+		cost *= s.chooser.farCost
+	}
 	return cost * (1 + refusalCost*m.refused.within(s.at, refusalMemory) + failureCost*(m.failed.fading(s.at, failureMemory)+m.errored.fading(s.at, failureMemory)))
 }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -21,6 +21,7 @@
 	minHeartbeat       = 10 * time.Millisecond
 	heartbeatsPerElect = 3
 	maxMembers         = 7
+	maxFarCost         = 100
 )
 
 // checker collects the problems of one settings file.
--- a/internal/settings/checkprocess.go
+++ b/internal/settings/checkprocess.go
@@ -24,6 +24,9 @@
 	c.advertised(d.PeerListen, d.PeerAdvertise)
 	c.controls(d.Control)
 	c.between("freshness", d.Freshness, minFreshness, maxFreshness)
+	if d.FarCost < 1 || d.FarCost > maxFarCost {
+		c.report("far-cost", fmt.Sprint(d.FarCost), "a number from 1 to 100")
+	}
 	c.between("coasting", d.Coasting, 0, maxFreshness)
 	c.timeouts(d.Timeouts)
 	c.log(d.Log)
--- a/internal/settings/daemon.go
+++ b/internal/settings/daemon.go
@@ -5,7 +5,11 @@
 	"time"
 )
 
-const defaultFreshness = 3 * time.Second
+const (
+	defaultFreshness = 3 * time.Second
+	// defaultFarCost treats all failure domains alike once the near targets show pressure.
+	defaultFarCost = 1
+)
 
 // Daemon is the settings of a daemon.
 type Daemon struct {
@@ -21,6 +25,8 @@
 	OperatorsListen netip.AddrPort   `toml:"operators-listen"`
 	Control         []netip.AddrPort `toml:"control"`
 	Freshness       time.Duration    `toml:"freshness"`
+	// FarCost is how many times as dear a target of another failure domain is taken to be.
+	FarCost float64 `toml:"far-cost"`
 	// Coasting is how long workspaces may spend at their lately observed rate while no leader grants tokens.
 	Coasting time.Duration `toml:"coasting"`
 	Timeouts Timeouts      `toml:"timeouts"`
@@ -32,6 +38,7 @@
 func LoadDaemon(path string) (Daemon, error) {
 	d := Daemon{
 		Freshness: defaultFreshness,
+		FarCost:   defaultFarCost,
 		Timeouts:  defaultTimeouts(),
 		Log:       defaultLog(),
 	}
