--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -9,8 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"sapphirespread.example/priority"
 	"sapphirespread.example/quarantine"
 	"sapphirespread.example/retry"
@@ -21,6 +19,7 @@
 	id             uint64
 	admissionID    uint64
 	wholeID        string
+	whole          uint64 // hash of the whole request's id
 	workspace      string
 	share          float64
 	shed           float64 // share of requests like it that were shed so far
@@ -60,9 +59,7 @@
 }
 
 // wholeHash returns the hash that every hop of the whole request shares.
-func (c *call) wholeHash() uint64 {
-	return xxhash.Sum64String(c.wholeID)
-}
+func (c *call) wholeHash() uint64 { return c.whole }
 
 // origin returns what the call has in common with the others of its whole request.
 func (c *call) origin() priority.Origin {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -55,6 +55,7 @@
 	quarantine  quarantineList
 	crashes     crashReports
 	tokens      *tokenTable
+	running     *runningCalls
 	backend     *backend
 	pool        *peer.Pool
 	streams     *callStreams
@@ -81,6 +82,7 @@
 		view:        configuration.NewView(configuration.WithFreshness(s.Freshness)),
 		resends:     retry.NewResends(),
 		tokens:      newTokenTable(),
+		running:     newRunningCalls(),
 		counters:    newCounters(),
 		inFlight:    newInFlight(),
 		latencies:   newLatencies(),
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -116,6 +116,7 @@
 	return &call{
 		id:             id,
 		wholeID:        c.wholeID,
+		whole:          c.whole,
 		workspace:      c.workspace,
 		share:          c.share,
 		route:          c.route,
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"io"
@@ -71,6 +72,7 @@
 	if c.wholeID == "" {
 		c.wholeID = newWholeID()
 	}
+	c.whole = xxhash.Sum64String(cmp.Or(said.WholeID, c.wholeID))
 	c.service = matched.ServiceFor(xxhash.Sum64String(c.wholeID))
 	if said.Remaining > 0 {
 		c.deadline = earlier(c.deadline, time.Now().Add(said.Remaining))
@@ -81,12 +83,27 @@
 	if !matched.Open {
 		refused = identify(snapshot, fresh, said.Key, matched, c)
 	}
+	if c.nested && said.WholeID != "" {
+		c.continues(d.running.find(c.whole))
+	}
 	if refused == nil && c.claimed {
 		refused = d.enterOnce(r, c, matched.ExtraAttempts)
 	}
 	return c, refused
 }
 
+// continues makes c a part of the whole request of parent, which runs at the backend server that made c.
+func (c *call) continues(parent *call) {
+	if parent == nil {
+		return
+	}
+	c.parent = parent
+	c.priority = parent.priority
+	c.shed = parent.shed
+	c.depth = parent.depth + 1
+	c.deadline = earlier(c.deadline, parent.deadline)
+}
+
 // ranked returns the level of a request: that of its workspace goes first, where it has one, and that of its route second.
 func ranked(snapshot configuration.Snapshot, workspace configuration.Workspace, level int) int {
 	if workspace.Priority == "" {
--- a/internal/daemon/local.go
+++ b/internal/daemon/local.go
@@ -110,6 +110,8 @@
 	r.call.running = ctx
 	if r.daemon.listeners.Subcalls != nil {
 		r.token = r.daemon.tokens.issue(r.call)
+	} else {
+		r.daemon.running.add(r.call)
 	}
 	watched, refused := r.daemon.watchRun(ctx, r.call, r.said.Name)
 	if refused != nil {
@@ -339,6 +341,8 @@
 	}
 	if r.token != "" {
 		r.daemon.tokens.revoke(r.token)
+	} else {
+		r.daemon.running.remove(r.call)
 	}
 	if r.watched != nil {
 		r.watched.end(!early && crashed == "")
--- a/internal/daemon/remote.go
+++ b/internal/daemon/remote.go
@@ -75,6 +75,7 @@
 	return &peerpb.CallHeader{
 		CallId:            c.id,
 		WholeId:           c.wholeID,
+		WholeHash:         c.whole,
 		Target:            to.Name,
 		TargetIncarnation: to.Incarnation,
 		Service:           c.service,
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -25,6 +25,7 @@
 	c := &call{
 		id:             head.GetCallId(),
 		wholeID:        head.GetWholeId(),
+		whole:          head.GetWholeHash(),
 		workspace:      head.GetWorkspace(),
 		share:          head.GetShare(),
 		shed:           head.GetShed(),
--- a/internal/daemon/subcall.go
+++ b/internal/daemon/subcall.go
@@ -57,6 +57,7 @@
 	}
 	c := d.newCall(r, matched)
 	c.wholeID = parent.wholeID
+	c.whole = parent.whole
 	c.service = matched.ServiceFor(xxhash.Sum64String(c.wholeID))
 	c.callerService = d.settings.Service
 	c.nested = true
