--- a/internal/backend/connection/pool_test.go
+++ b/internal/backend/connection/pool_test.go
@@ -104,7 +104,7 @@
 
 // TestAnswersOfOthersAreNotTaken sends second answers at once, late and before the own one.
 func TestAnswersOfOthersAreNotTaken(t *testing.T) {
-	s := serve(t, func(conn net.Conn, n int, r *http.Request) bool {
+	s := serve(t, func(conn net.Conn, _ int, r *http.Request) bool {
 		own := r.Header.Get(headerID)
 		switch own {
 		case "at-once":
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -27,7 +27,9 @@
 	kindControl    = "control"
 	kindRelayed    = "control-relayed"
 	proposeTimeout = 5 * time.Second
-	timelineSize   = 4096
+	// stopTimeout is for handing over and for the operators' calls under way, each; a platform kills after some seconds.
+	stopTimeout  = 2 * time.Second
+	timelineSize = 4096
 )
 
 var (
@@ -309,11 +311,10 @@
 
 func (c *Control) stop(servers []*http.Server) {
 	c.record("control", "stopping")
-	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
+	c.logger.Info().Msg("control: stopping")
+	c.handOver()
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	if err := c.store.Transfer(ctx); err != nil {
-		c.logger.Debug().Err(err).Msg("control: leadership not handed over")
-	}
 	for _, server := range servers {
 		if server.Shutdown(ctx) != nil {
 			_ = server.Close()
@@ -325,6 +326,15 @@
 	_ = c.pool.Close()
 }
 
+// handOver gives the leadership to another instance, where this one has it.
+func (c *Control) handOver() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	if err := c.store.Transfer(ctx); err != nil {
+		c.logger.Info().Err(err).Msg("control: leadership not handed over")
+	}
+}
+
 // stamp advances the clock by a peer's stamp and returns a later one.
 func (c *Control) stamp(seen *peerpb.Stamp) *peerpb.Stamp {
 	now := time.Now()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -28,6 +28,8 @@
 	timelineSize   = 4096
 	maxHeaderBytes = 64 << 10
 	drainNotice    = 500 * time.Millisecond
+	// linkEndBound is above farewellTimeout, and leaves time to close sockets before a process is killed.
+	linkEndBound = 400 * time.Millisecond
 )
 
 // A Daemon is the process beside one backend server.
@@ -214,7 +216,11 @@
 		d.logger.Warn().Int("requests", d.inFlight.current()).Msg("daemon: requests cut after the drain timeout")
 	}
 	stopLink()
-	<-linkEnded
+	select {
+	case <-linkEnded:
+	case <-time.After(linkEndBound):
+		d.logger.Warn().Msg("daemon: session with control not ended in time")
+	}
 	for _, server := range servers {
 		server.stop(ctx)
 	}
