--- a/internal/daemon/admitter.go
+++ b/internal/daemon/admitter.go
@@ -67,6 +67,7 @@
 		WholeHash: c.wholeHash(),
 		Priority:  c.priority,
 		Workspace: c.workspace,
+		Route:     c.route,
 		Share:     c.share,
 		Deadline:  c.deadline,
 		Shed:      c.shed,
