Don't call a request not run whose earlier attempt may have run

Cause: dispatch returned the refusal of the last attempt, which says not-run truly of itself, after an earlier attempt of a repeatable request had ended without an answer.

--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -19,10 +20,11 @@
 func (d *Daemon) dispatch(ctx context.Context, c *call) (*answer, *attemptError) {
 	d.link.need(ctx, c.service)
 	var tried []string
+	var unsure *attemptError // a failure after which the request may have run
 	for {
 		chosen, refused := d.choose(c, tried)
 		if refused != nil {
-			return nil, refused
+			return nil, cmp.Or(unsure, refused)
 		}
 		sentAt := time.Now()
 		answer, failed := d.attempt(ctx, c, chosen)
@@ -33,13 +35,16 @@
 		if failed.crashed != "" {
 			d.holdCrasher(c)
 		}
+		if !failed.notRun {
+			unsure = failed
+		}
 		if !d.mayRetry(ctx, c, failed) {
-			return nil, failed
+			return nil, cmp.Or(unsure, failed)
 		}
 		tried = append(tried, chosen.Target.Name)
 		d.counters.retries.Add(1)
 		if !sleep(ctx, retry.Backoff(newRandom(), len(tried))) {
-			return nil, failed
+			return nil, cmp.Or(unsure, failed)
 		}
 	}
 }
