--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -63,7 +63,7 @@
 
 // origin returns what the call has in common with the others of its whole request.
 func (c *call) origin() priority.Origin {
-	return priority.Origin{Priority: c.priority, Workspace: c.workspace, WholeHash: c.wholeHash(), Begun: c.nested}
+	return priority.Origin{Priority: c.priority, Workspace: c.workspace, WholeHash: c.wholeHash()}
 }
 
 // callee returns what the call asks for.
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -243,6 +243,7 @@
 	}
 	if c.parent != nil && answer.status < http.StatusInternalServerError {
 		c.parent.called(c.callee())
+		d.running.called(c.whole, c.callee())
 	}
 	d.sendAnswer(w, c, answer)
 }
--- a/internal/daemon/runningcalls.go
+++ b/internal/daemon/runningcalls.go
@@ -1,6 +1,11 @@
 package daemon
 
-import "sync"
+import (
+	"slices"
+	"sync"
+
+	"sapphirespread.example/priority"
+)
 
 // runningCalls finds the calls that run at the backend server by the whole request that they are part of, for backend
 // servers that make calls of their own without a call token.
@@ -36,6 +41,16 @@
 	r.byWhole[c.whole] = left
 }
 
+// called notes at all calls of the whole request that a deeper call was answered well: which of them made it is not known.
+func (r *runningCalls) called(whole uint64, callee priority.Callee) {
+	r.mu.Lock()
+	running := slices.Clone(r.byWhole[whole])
+	r.mu.Unlock()
+	for _, c := range running {
+		c.called(callee)
+	}
+}
+
 // find returns a call of the whole request that runs here; where there are several, they are alike to what is made below.
 func (r *runningCalls) find(whole uint64) *call {
 	r.mu.Lock()
--- a/priority/origin.go
+++ b/priority/origin.go
@@ -6,14 +6,11 @@
 	Priority  int
 	Workspace string
 	WholeHash uint64
-	// Begun is set where a part of the whole request runs already: shedding it before it is sent would waste that part,
-	// so only its target's admission decides.
-	Begun bool `json:",omitempty"`
 }
 
 // ShedBy reports whether the whole request is one of the share of all that is shed.
 func (o Origin) ShedBy(share float64) bool {
-	return !o.Begun && hashFraction(o.WholeHash) < share
+	return hashFraction(o.WholeHash) < share
 }
 
 // hashFraction spreads hash over [0, 1).
