--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -230,6 +230,13 @@
 	d.logger.Info().Msg("daemon: stopped")
 }
 
+// SetControl replaces the control instances that the settings name; a session that is up stays.
+func (d *Daemon) SetControl(addresses []netip.AddrPort) {
+	if len(addresses) > 0 {
+		d.link.reconfigure(addresses)
+	}
+}
+
 // CallersAddress returns where callers are served.
 func (d *Daemon) CallersAddress() netip.AddrPort {
 	return addressOf(d.listeners.Callers)
--- a/internal/daemon/link.go
+++ b/internal/daemon/link.go
@@ -22,6 +22,7 @@
 	reconnectPause   = 50 * time.Millisecond
 	reconnectSpread  = 150 * time.Millisecond
 	maxQueuedReports = 4096
+	maxControls      = 7 // the most members that a cluster has
 )
 
 // A link keeps the daemon attached to one control instance, and moves to another where that one
@@ -39,6 +40,8 @@
 	since   time.Time
 	newest  generation
 	told    []netip.AddrPort
+	// configured are the control instances of the settings, which may change.
+	configured []netip.AddrPort
 }
 
 func newLink(d *Daemon) *link {
@@ -48,6 +51,8 @@
 		kicked:  make(chan struct{}, 1),
 		answers: newPendingAnswers(),
 		wanted:  newWantedServices(),
+
+		configured: d.settings.Control,
 	}
 }
 
@@ -72,7 +77,7 @@
 
 // run keeps the link up until ctx ends.
 func (l *link) run(ctx context.Context) {
-	next := rand.IntN(len(l.daemon.settings.Control))
+	next := rand.IntN(maxControls)
 	var hint netip.AddrPort
 	for ctx.Err() == nil {
 		address := hint
@@ -93,7 +98,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	addresses := slices.Clone(l.told)
-	for _, configured := range l.daemon.settings.Control {
+	for _, configured := range l.configured {
 		if !slices.Contains(addresses, configured) {
 			addresses = append(addresses, configured)
 		}
@@ -101,6 +106,13 @@
 	return addresses
 }
 
+// reconfigure replaces the control instances of the settings.
+func (l *link) reconfigure(controls []netip.AddrPort) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.configured = slices.Clone(controls)
+}
+
 // tell takes the addresses of the control instances as the leader tells them.
 func (l *link) tell(addresses []string) {
 	var told []netip.AddrPort
