Don't let an earlier start's late answer drain the next start of a target

Cause: an answer that says draining was noted at whatever start of the target the table held when it came. Where the target had started anew meanwhile, the new start got no call until it started again.

--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -222,6 +222,8 @@
 		Kind:     a.kind,
 		Level:    a.report.level,
 		Draining: a.report.draining,
+
+		Incarnation: a.target.Incarnation,
 	})
 }
 
--- a/internal/membership/target/chooser.go
+++ b/internal/membership/target/chooser.go
@@ -60,7 +60,8 @@
 		return
 	}
 	m.settle()
-	if o.Draining {
+	// An earlier start says nothing about the one that took its place meanwhile.
+	if o.Draining && (o.Incarnation == 0 || m.target().Incarnation <= o.Incarnation) {
 		m.drained.Store(true)
 	}
 	at := c.offset(now)
--- a/internal/membership/target/observation.go
+++ b/internal/membership/target/observation.go
@@ -24,4 +24,6 @@
 	Kind     AnswerKind
 	Level    priority.Level
 	Draining bool
+	// Incarnation is the one that answered, zero where that is not known.
+	Incarnation uint64 `json:"-"`
 }
