--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -28,8 +28,12 @@
 	return members, nil
 }
 
-// memberAddresses returns where the control instances of the cluster are reached by other processes.
+// memberAddresses returns where the control instances of the cluster are reached by other processes, where they change
+// without an operator; else daemons keep to those of their settings.
 func (c *Control) memberAddresses() []string {
+	if c.settings.Voters == 0 {
+		return nil
+	}
 	members := c.store.Members()
 	addresses := make([]string, 0, len(members))
 	for _, member := range members {
