Shed nested calls by their whole request's workspace, and rank workspaces before routes

And the priority of a workspace replaced that of the route, so that nearly all requests were of one rank and bookings were shed like browsing.

Ruled out: tokens (the queues are full also where none is missing), the limiter (at the announced slots).

--- a/internal/daemon/admitter.go
+++ b/internal/daemon/admitter.go
@@ -66,7 +66,7 @@
 		ID:        c.admissionID,
 		WholeHash: c.wholeHash(),
 		Priority:  c.priority,
-		Workspace: c.workspace,
+		Workspace: c.wholeWorkspace,
 		Route:     c.route,
 		Share:     c.share,
 		Deadline:  c.deadline,
--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -20,12 +20,13 @@
 	admissionID    uint64
 	wholeID        string
 	whole          uint64 // hash of the whole request's id
-	workspace      string
+	workspace      string // whose key came with the call itself
+	wholeWorkspace string // whose key came with the whole request
 	share          float64
 	shed           float64 // share of requests like it that were shed so far
 	route          string
 	service        string
-	priority       int
+	priority       int // rank of its workspace and its route
 	deadline       time.Time
 	objective      time.Duration
 	repeatable     bool
@@ -63,7 +64,7 @@
 
 // origin returns what the call has in common with the others of its whole request.
 func (c *call) origin() priority.Origin {
-	return priority.Origin{Priority: c.priority, Workspace: c.workspace, WholeHash: c.wholeHash()}
+	return priority.Origin{Priority: c.priority, Workspace: c.wholeWorkspace, WholeHash: c.wholeHash()}
 }
 
 // callee returns what the call asks for.
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -123,6 +123,7 @@
 		wholeID:        c.wholeID,
 		whole:          c.whole,
 		workspace:      c.workspace,
+		wholeWorkspace: c.wholeWorkspace,
 		share:          c.share,
 		route:          c.route,
 		service:        c.service,
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -16,6 +16,7 @@
 	"sapphirespread.example/configuration"
 	"sapphirespread.example/internal/daemon/dialect"
 	"sapphirespread.example/internal/host/boottime"
+	"sapphirespread.example/priority"
 	"sapphirespread.example/quarantine"
 	"sapphirespread.example/refusal"
 	"sapphirespread.example/retry"
@@ -67,7 +68,7 @@
 	c := d.newCall(r, matched)
 	c.trail.revision = snapshot.Revision
 	c.trail.confirmed = d.view.ConfirmedAgo(now)
-	c.priority = priorityLevel(snapshot, matched.Priority)
+	c.priority = rank(snapshot, configuration.Workspace{}, matched)
 	c.wholeID = said.RequestID
 	if c.wholeID == "" {
 		c.wholeID = newWholeID()
@@ -99,17 +100,20 @@
 	}
 	c.parent = parent
 	c.priority = parent.priority
+	c.wholeWorkspace = parent.wholeWorkspace
+	c.share = parent.share
 	c.shed = parent.shed
 	c.depth = parent.depth + 1
 	c.deadline = earlier(c.deadline, parent.deadline)
 }
 
-// ranked returns the level of a request: that of its workspace goes first, where it has one, and that of its route second.
-func ranked(snapshot configuration.Snapshot, workspace configuration.Workspace, level int) int {
+// rank returns the priority of a request. Where its workspace has no level, that of its route goes first.
+func rank(snapshot configuration.Snapshot, workspace configuration.Workspace, matched configuration.Route) int {
+	level := priorityLevel(snapshot, matched.Priority)
 	if workspace.Priority == "" {
-		return level
+		return priority.Rank(level, level)
 	}
-	return priorityLevel(snapshot, workspace.Priority)
+	return priority.Rank(priorityLevel(snapshot, workspace.Priority), level)
 }
 
 func newWholeID() string {
@@ -148,10 +152,10 @@
 	case !allows(matched, entry.Workspace):
 		return refuse(refusal.NoRoute, "the workspace has no such route")
 	}
-	c.workspace = entry.Workspace
+	c.workspace, c.wholeWorkspace = entry.Workspace, entry.Workspace
 	if workspace, named := snapshot.Workspace(entry.Workspace); named {
 		c.share = workspace.Share
-		c.priority = ranked(snapshot, workspace, c.priority)
+		c.priority = rank(snapshot, workspace, matched)
 	}
 	return nil
 }
--- a/internal/daemon/latencies.go
+++ b/internal/daemon/latencies.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"sapphirespread.example/priority"
 )
 
 const (
@@ -47,7 +49,7 @@
 // record adds one request that has ended.
 func (l *latencies) record(c *call, outcome string) {
 	took := min(time.Since(c.trail.arrivedAt), maxLatency)
-	series := latencySeries{c.service, c.priority, outcome}
+	series := latencySeries{c.service, priority.LeadingLevel(c.priority), outcome}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	histogram := l.bySeries[series]
--- a/internal/daemon/remote.go
+++ b/internal/daemon/remote.go
@@ -81,6 +81,7 @@
 		Service:           c.service,
 		Route:             c.route,
 		Workspace:         c.workspace,
+		WholeWorkspace:    c.wholeWorkspace,
 		Share:             c.share,
 		Shed:              c.shed,
 		Priority:          int32(c.priority),
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -27,6 +27,7 @@
 		wholeID:        head.GetWholeId(),
 		whole:          head.GetWholeHash(),
 		workspace:      head.GetWorkspace(),
+		wholeWorkspace: head.GetWholeWorkspace(),
 		share:          head.GetShare(),
 		shed:           head.GetShed(),
 		route:          head.GetRoute(),
--- a/internal/daemon/subcall.go
+++ b/internal/daemon/subcall.go
@@ -62,6 +62,7 @@
 	c.callerService = d.settings.Service
 	c.nested = true
 	c.workspace = parent.workspace
+	c.wholeWorkspace = parent.wholeWorkspace
 	c.share = parent.share
 	c.shed = parent.shed
 	c.priority = parent.priority
--- a/priority/fairness.go
+++ b/priority/fairness.go
@@ -14,12 +14,15 @@
 // fairness counts the demand of each workspace over the last windows, so that shedding upstream takes from
 // each what it has in excess of its fair share.
 type fairness struct {
-	arrivals [priorities]map[string]*workspaceArrivals
+	arrivals map[int]map[string]*workspaceArrivals // by priority
 }
 
 // of returns the counts of r's workspace at its priority.
 func (f *fairness) of(r Request) *workspaceArrivals {
 	p := bucket(r.Priority)
+	if f.arrivals == nil {
+		f.arrivals = make(map[int]map[string]*workspaceArrivals)
+	}
 	if f.arrivals[p] == nil {
 		f.arrivals[p] = make(map[string]*workspaceArrivals)
 	}
--- a/priority/shedder.go
+++ b/priority/shedder.go
@@ -20,7 +20,7 @@
 	shedRecoverStep  = 0.02
 	demandKeep       = 0.8 // of the old demand in each window
 	demandUnseenKeep = 0.99
-	priorities       = 32
+	priorities       = levels * levels
 )
 
 // openLevel returns a level that sheds nothing.
@@ -39,7 +39,7 @@
 // follows the completions while requests stay waiting, and grows again as soon as they don't.
 type shedder struct {
 	start       time.Time
-	arrivals    [priorities]float64 // with what upstream daemons kept back
+	arrivals    []float64 // by priority, up to the least important one seen; with what upstream daemons kept back
 	finished    int
 	overflow    int
 	latency     time.Duration // sum over the finished runs
@@ -47,7 +47,7 @@
 	admitted    float64
 	recent      [shedLag]Level // that upstream daemons may still heed
 	recentAt    int
-	demand      [priorities]float64
+	demand      []float64 // by priority, as long as arrivals
 	fairness    fairness
 	published   Level
 }
@@ -62,6 +62,10 @@
 
 func (s *shedder) arrived(r Request) {
 	p := bucket(r.Priority)
+	for len(s.arrivals) <= p {
+		s.arrivals = append(s.arrivals, 0)
+		s.demand = append(s.demand, 0)
+	}
 	a := s.fairness.of(r)
 	weight := s.demandOf(p, a.hash, r.Shed)
 	s.arrivals[p] += weight
@@ -115,7 +119,7 @@
 	s.control(elapsed, load)
 	s.publish()
 	s.start = now
-	s.arrivals = [priorities]float64{}
+	clear(s.arrivals)
 	s.finished, s.overflow, s.latency = 0, 0, 0
 	return true
 }
