Refuse at the entry what nearly always fails, give tokens to the most important first, stop targets late

Also: a stopping daemon's target serves other daemons until a second before callers are refused, not measured yet.

--- a/internal/daemon/announce.go
+++ b/internal/daemon/announce.go
@@ -105,7 +105,7 @@
 // draining reports whether new calls should go elsewhere.
 func (d *Daemon) draining() bool {
 	said, _, present := d.backend.at(time.Now())
-	return d.stopping.Load() || !present || said.State == target.Draining
+	return d.leaving.Load() || !present || said.State == target.Draining
 }
 
 // Disregard notes that an announcement could not be understood.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -28,6 +28,9 @@
 	timelineSize   = 4096
 	maxHeaderBytes = 64 << 10
 	drainNotice    = 500 * time.Millisecond
+	// targetNotice is the part of the notice to callers in which other daemons are told that the target leaves: drainNotice
+	// and a usual run.
+	targetNotice = time.Second
 	// linkEndBound is above farewellTimeout, and leaves time to close sockets before a process is killed.
 	linkEndBound = 400 * time.Millisecond
 )
@@ -38,6 +41,7 @@
 	dialect     dialect.Dialect
 	extra       []extraServer
 	logger      zerolog.Logger
+	requests    *zerolog.Logger // for what touches one request
 	tls         *tls.Config
 	listeners   Listeners
 	incarnation uint64
@@ -51,6 +55,7 @@
 	tokenWait   *tokenWait
 	admitter    *admitter
 	deeper      *deeper
+	doomed      *doomed
 	budgets     *budgets
 	resends     *retry.Resends
 	watch       watch
@@ -69,6 +74,7 @@
 	latencies   *latencies
 	callIDs     atomic.Uint64
 	stopping    atomic.Bool
+	leaving     atomic.Bool // the target takes no more work than what is on its way
 	refusing    atomic.Bool
 	turning     atomic.Bool
 }
@@ -97,6 +103,7 @@
 	d.budgets = newBudgets(d.recorder)
 	d.setDecisions()
 	d.deeper = newDeeper(d.chooser)
+	d.doomed = newDoomed()
 	d.link = newLink(d)
 	d.tokenWait = newTokenWait(d.holder, d.link.kick)
 	d.liveness = newLiveness(d.alive, d.chooser.Heard)
@@ -200,17 +207,21 @@
 	return servers, nil
 }
 
-// stop refuses callers at once and other daemons once they could have heard, waits for what is in flight, returns unspent tokens and closes all sockets.
+// stop lets the target serve for as long as the notice to callers allows, refuses other daemons and callers once they could
+// have heard, waits for what is in flight, returns unspent tokens and closes all sockets.
 func (d *Daemon) stop(servers []*httpServer, stopLink func(), linkEnded <-chan struct{}) {
 	d.record("daemon", "stopping")
 	d.logger.Info().Msg("daemon: stopping")
 	d.stopping.Store(true)
-	d.link.kickHeartbeat()
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Timeouts.Drain)
 	defer cancel()
+	notice := min(d.settings.Timeouts.CallersNotice, targetNotice)
+	sleep(ctx, d.settings.Timeouts.CallersNotice-notice)
+	d.leaving.Store(true)
+	d.link.kickHeartbeat()
 	time.Sleep(drainNotice)
 	d.refusing.Store(true)
-	sleep(ctx, d.settings.Timeouts.CallersNotice-drainNotice)
+	sleep(ctx, notice-drainNotice)
 	d.turning.Store(true)
 	if err := d.inFlight.wait(ctx); err != nil {
 		d.logger.Warn().Int("requests", d.inFlight.current()).Msg("daemon: requests cut after the drain timeout")
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -39,11 +39,14 @@
 		return
 	}
 	d.serveRequest(w, r, c, func(ctx context.Context) *attemptError {
-		if refused := d.shed(c); refused != nil || c.workspace == "" {
+		if refused := d.shed(c); refused != nil {
+			return refused
+		}
+		if refused := d.doomed.refuses(c); refused != nil || c.workspace == "" {
 			return refused
 		}
 		began := time.Now()
-		refused := d.tokenWait.spend(ctx, c.workspace, c.objective)
+		refused := d.tokenWait.spend(ctx, c.workspace, c.priority, c.objective)
 		c.trail.tokenWait = time.Since(began)
 		return refused
 	})
@@ -241,6 +244,7 @@
 		return
 	}
 	answer, refused := d.dispatch(ctx, c)
+	d.doomed.ended(c, answer, refused)
 	if refused != nil {
 		d.refuseCall(w, c, c.wholeID, refused)
 		return
--- a/internal/daemon/linksession.go
+++ b/internal/daemon/linksession.go
@@ -208,7 +208,7 @@
 	switch {
 	case !present:
 		state = stateLeft
-	case s.link.daemon.stopping.Load():
+	case s.link.daemon.leaving.Load():
 		state = string(target.Draining)
 	}
 	message := s.announceMessage(said, incarnation, state)
--- a/internal/daemon/tokenwait.go
+++ b/internal/daemon/tokenwait.go
@@ -35,14 +35,16 @@
 type tokenWaiter struct {
 	granted chan bool
 	until   time.Time
+	rank    int // as of its priority
 }
 
 func newTokenWait(holder holder, kick func()) *tokenWait {
 	return &tokenWait{holder: holder, kick: kick, queues: make(map[string]*limit.Queue[*tokenWaiter])}
 }
 
-// spend takes one token of workspace, waiting for a grant within the deadline of ctx.
-func (t *tokenWait) spend(ctx context.Context, workspace string, objective time.Duration) *attemptError {
+// spend takes one token of workspace, waiting for a grant within the deadline of ctx. Of those that wait, the most important
+// get the tokens first.
+func (t *tokenWait) spend(ctx context.Context, workspace string, rank int, objective time.Duration) *attemptError {
 	now := boottime.Now()
 	t.spends.Add(1)
 	if t.queueLength(workspace) == 0 && t.holder.Spend(now, workspace, tokensACall) {
@@ -51,7 +53,7 @@
 	bound := waitBound(ctx, objective)
 	ctx, cancel := context.WithTimeout(ctx, bound)
 	defer cancel()
-	waiter := &tokenWaiter{granted: make(chan bool, 1), until: now.Add(bound)}
+	waiter := &tokenWaiter{granted: make(chan bool, 1), until: now.Add(bound), rank: rank}
 	t.join(now, workspace, waiter)
 	t.kick()
 	select {
@@ -62,7 +64,8 @@
 		return t.refuse(workspace, "")
 	case <-ctx.Done():
 	}
-	if t.abandon(workspace, waiter) {
+	// An owner that fell silent during the wait leaves the workspace to what it may spend meanwhile.
+	if t.abandon(workspace, waiter) || t.holder.Spend(boottime.Now(), workspace, tokensACall) {
 		return nil
 	}
 	return t.refuse(workspace, "no token within the wait")
@@ -99,7 +102,7 @@
 	defer t.mu.Unlock()
 	queue := t.queues[workspace]
 	if queue == nil {
-		queue = limit.NewQueue[*tokenWaiter](limit.DefaultMaximumWaiting)
+		queue = limit.NewQueue(limit.DefaultMaximumWaiting, limit.WithRank(func(w *tokenWaiter) int { return w.rank }))
 		t.queues[workspace] = queue
 	}
 	t.holder.Wait(now, workspace)
--- a/limit/queue.go
+++ b/limit/queue.go
@@ -10,13 +10,14 @@
 	queueOverloadTime = 5 * time.Second
 )
 
-// A Queue holds the requests of one workspace that wait for tokens at one daemon. The oldest is served first; when
-// the oldest has waited for 100 ms or more during 5 s, which is longer than an owner's replacement takes, the newest
+// A Queue holds the requests of one workspace that wait for tokens at one daemon. The most important are served first, and
+// of these the oldest; when the oldest of all has waited for 100 ms or more during 5 s, which is longer than an owner's replacement takes, the newest
 // is, so that those served waited little.
 type Queue[R comparable] struct {
 	maximum int
-	waiting []queued[R]
-	longAt  time.Time // since when waits are long, or zero
+	rank    func(R) int
+	waiting []queued[R] // in the order of arrival
+	longAt  time.Time   // since when waits are long, or zero
 }
 
 type queued[R comparable] struct {
@@ -24,18 +25,36 @@
 	since   time.Time
 }
 
+// A QueueOption configures a Queue.
+type QueueOption[R comparable] func(*Queue[R])
+
+// WithRank orders the requests by their rank, 0 the most important; without it all are alike.
+func WithRank[R comparable](rank func(R) int) QueueOption[R] {
+	return func(q *Queue[R]) { q.rank = rank }
+}
+
 // NewQueue returns an empty queue of at most maximum requests.
-func NewQueue[R comparable](maximum int) *Queue[R] {
-	return &Queue[R]{maximum: maximum}
+func NewQueue[R comparable](maximum int, opts ...QueueOption[R]) *Queue[R] {
+	q := &Queue[R]{maximum: maximum, rank: func(R) int { return 0 }}
+	for _, opt := range opts {
+		opt(q)
+	}
+	return q
 }
 
-// Push adds a request. Where the queue is full the oldest leaves it and is returned, to be refused.
+// Push adds a request. Where the queue is full the oldest of the least important leaves it and is returned, to be refused.
 func (q *Queue[R]) Push(now time.Time, request R) (displaced R, full bool) {
-	if full = len(q.waiting) >= q.maximum; full {
-		displaced = q.take(0)
-	}
 	q.waiting = append(q.waiting, queued[R]{request, now})
-	return displaced, full
+	if len(q.waiting) <= q.maximum {
+		return displaced, false
+	}
+	victim := 0
+	for i := range q.waiting {
+		if q.rank(q.waiting[i].request) > q.rank(q.waiting[victim].request) {
+			victim = i
+		}
+	}
+	return q.take(victim), true
 }
 
 // Pop takes the request to be served next.
@@ -43,10 +62,15 @@
 	if len(q.waiting) == 0 {
 		return request, false
 	}
-	if q.overloaded(now) {
-		return q.take(len(q.waiting) - 1), true
+	newestFirst := q.overloaded(now)
+	next := 0
+	for i := range q.waiting {
+		rank, best := q.rank(q.waiting[i].request), q.rank(q.waiting[next].request)
+		if rank < best || newestFirst && rank == best {
+			next = i
+		}
 	}
-	return q.take(0), true
+	return q.take(next), true
 }
 
 func (q *Queue[R]) overloaded(now time.Time) bool {
--- a/limit/queue_test.go
+++ b/limit/queue_test.go
@@ -7,6 +7,25 @@
 	"sapphirespread.example/limit"
 )
 
+// TestQueueServesTheMostImportantFirst fills a queue with requests of two ranks, as in a burst beyond a workspace's rate.
+func TestQueueServesTheMostImportantFirst(t *testing.T) {
+	q := limit.NewQueue(4, limit.WithRank(func(request int) int { return request / 10 }))
+	for _, request := range []int{20, 1, 21, 2} {
+		q.Push(after(0), request)
+	}
+	if displaced, full := q.Push(after(time.Millisecond), 3); !full || displaced != 20 {
+		t.Errorf("displaced %d, %v, want the oldest of the least important", displaced, full)
+	}
+	if displaced, full := q.Push(after(time.Millisecond), 40); !full || displaced != 40 {
+		t.Errorf("displaced %d, %v, want the one that came, which is the least important", displaced, full)
+	}
+	for _, want := range []int{1, 2, 3, 21} {
+		if got, ok := q.Pop(after(time.Millisecond)); !ok || got != want {
+			t.Errorf("popped %d, %v, want %d", got, ok, want)
+		}
+	}
+}
+
 func TestQueueServesNewestFirstOnlyInLongOverload(t *testing.T) {
 	q := limit.NewQueue[int](3)
 	pop := func(now time.Duration, want int) {
