--- a/internal/cmd/platformcmd.go
+++ b/internal/cmd/platformcmd.go
@@ -64,9 +64,9 @@
 		return err
 	}
 	tuneCollector()
-	return a.logged(loaded.Log, loaded.Name, func(logger zerolog.Logger) error {
+	return a.logged(loaded.Log, loaded.Name, func(logger, requests zerolog.Logger) error {
 		logger.Info().Str("node", node.Name).Interface("settings", loaded).Msg("platform: started")
-		options := append(node.DaemonOptions(), daemon.WithLogger(logger))
+		options := append(node.DaemonOptions(), daemon.WithLogger(logger), daemon.WithRequestLogger(requests))
 		process := daemon.New(loaded, options...)
 		reload := func(next platform.Node) error {
 			changed, err := next.DaemonSettings()
@@ -84,7 +84,7 @@
 	if err != nil || checkOnly {
 		return err
 	}
-	return a.logged(loaded.Log, loaded.Name, func(logger zerolog.Logger) error {
+	return a.logged(loaded.Log, loaded.Name, func(logger, _ zerolog.Logger) error {
 		logger.Info().Str("node", node.Name).Interface("settings", loaded).Msg("platform: started")
 		options := append(node.ControlOptions(), control.WithLogger(logger))
 		// Members know one another from the log; other seeds count at the next start.
@@ -96,15 +96,20 @@
 	})
 }
 
-// logged runs a process whose log goes to standard output without ever making it wait.
-func (a *app) logged(log settings.Log, name string, run func(zerolog.Logger) error) error {
+// logged runs a process whose log goes to standard output without ever making it wait: what it tells of itself, and what
+// touches single requests, which floods under load.
+func (a *app) logged(log settings.Log, name string, run func(states, requests zerolog.Logger) error) error {
 	out := outlet.New(a.stdout)
 	defer out.Close()
-	logger, err := newLogger(out, log, name)
+	logger, err := newLogger(out.States(), log, name)
 	if err != nil {
 		return err
 	}
-	err = run(logger)
+	requests, err := newLogger(out, log, name)
+	if err != nil {
+		return err
+	}
+	err = run(logger, requests)
 	logger.Info().Err(err).Msg("platform: stopped")
 	return err
 }
--- a/internal/daemon/option.go
+++ b/internal/daemon/option.go
@@ -19,6 +19,11 @@
 	return func(d *Daemon) { d.logger = logger }
 }
 
+// WithRequestLogger sets where the daemon logs what touches one request; without it these lines go with the others.
+func WithRequestLogger(logger zerolog.Logger) Option {
+	return func(d *Daemon) { d.requests = &logger }
+}
+
 // WithTLS makes sessions between processes use TLS with config on both sides.
 func WithTLS(config *tls.Config) Option {
 	return func(d *Daemon) { d.tls = config }
--- a/internal/daemon/trail.go
+++ b/internal/daemon/trail.go
@@ -46,6 +46,14 @@
 	t.attempts = append(t.attempts, note)
 }
 
+// requestLogger returns the log of what touches one request.
+func (d *Daemon) requestLogger() *zerolog.Logger {
+	if d.requests != nil {
+		return d.requests
+	}
+	return &d.logger
+}
+
 // logAnswered tells that the backend server's answer was passed on, whole or cut short.
 func (d *Daemon) logAnswered(c *call, status int, whole bool) {
 	outcome := outcomeAnswered
@@ -53,9 +61,9 @@
 		outcome = outcomeErrored
 	}
 	d.latencies.record(c, outcome)
-	event := d.logger.Info()
+	event := d.requestLogger().Info()
 	if !whole {
-		event = d.logger.Warn()
+		event = d.requestLogger().Warn()
 	}
 	if event == nil {
 		return
@@ -70,7 +78,7 @@
 	} else if c != nil {
 		d.latencies.record(c, outcomeFailed)
 	}
-	event := d.logger.Warn()
+	event := d.requestLogger().Warn()
 	if event == nil {
 		return
 	}
@@ -96,7 +104,7 @@
 
 // logTurnedAway tells that this daemon's target did not run a call of another daemon, or that the run failed.
 func (d *Daemon) logTurnedAway(c *call, targetName string, refused *attemptError) {
-	event := d.logger.Warn()
+	event := d.requestLogger().Warn()
 	if event == nil {
 		return
 	}
--- a/internal/logs/outlet/outlet.go
+++ b/internal/logs/outlet/outlet.go
@@ -15,6 +15,9 @@
 	// some microseconds. Urgent lines tell of refusals and failures and have a bound of their own.
 	usualLines  = 150
 	urgentLines = 400
+	// stateLines is some times what a process tells of itself in a second of trouble: starts, stops, lost and regained
+	// dependencies. These lines have a bound of their own, so that no flood of requests hides them.
+	stateLines = 200
 	// queueBytes holds about a second of lines at both rates.
 	queueBytes = 256 << 10
 	// flushPeriod gathers lines into one write.
@@ -23,15 +26,28 @@
 	countPeriod = time.Second
 )
 
+// A class is what lines a bound is for.
+type class int
+
+const (
+	usual class = iota
+	urgent
+	state
+	classes
+)
+
+// bounds are the lines a second of each class.
+var bounds = [classes]int{usual: usualLines, urgent: urgentLines, state: stateLines}
+
 // An Outlet is the writer of a process's log. It is safe for concurrent use.
 type Outlet struct {
 	to      io.Writer
 	mu      sync.Mutex
 	queue   []byte
 	second  time.Time
-	written [2]int
-	dropped [2]atomic.Uint64
-	told    [2]uint64
+	written [classes]int
+	dropped [classes]atomic.Uint64
+	told    [classes]uint64
 	wake    chan struct{}
 	closed  chan struct{}
 	done    chan struct{}
@@ -53,24 +69,36 @@
 
 // WriteLevel queues a line, or drops and counts it. It never fails and never waits for the writer.
 func (o *Outlet) WriteLevel(level zerolog.Level, line []byte) (int, error) {
-	class, bound := 0, usualLines
 	if level >= zerolog.WarnLevel {
-		class, bound = 1, urgentLines
+		return o.write(urgent, line)
 	}
+	return o.write(usual, line)
+}
+
+// States returns the writer for lines that tell of the process itself, whatever their level.
+func (o *Outlet) States() io.Writer {
+	return stateWriter{o}
+}
+
+type stateWriter struct{ outlet *Outlet }
+
+func (w stateWriter) Write(line []byte) (int, error) { return w.outlet.write(state, line) }
+
+func (o *Outlet) write(of class, line []byte) (int, error) {
 	now := time.Now()
 	o.mu.Lock()
 	if now.Sub(o.second) >= time.Second {
 		o.second = now
-		o.written = [2]int{}
+		o.written = [classes]int{}
 	}
-	kept := o.written[class] < bound && len(o.queue)+len(line) <= queueBytes
+	kept := o.written[of] < bounds[of] && len(o.queue)+len(line) <= queueBytes
 	if kept {
-		o.written[class]++
+		o.written[of]++
 		o.queue = append(o.queue, line...)
 	}
 	o.mu.Unlock()
 	if !kept {
-		o.dropped[class].Add(1)
+		o.dropped[of].Add(1)
 	}
 	select {
 	case o.wake <- struct{}{}:
@@ -81,7 +109,7 @@
 
 // Dropped returns how many usual and urgent lines were dropped.
 func (o *Outlet) Dropped() (usual, urgent uint64) {
-	return o.dropped[0].Load(), o.dropped[1].Load()
+	return o.dropped[usual].Load(), o.dropped[urgent].Load()
 }
 
 // Close writes what is queued, where the writer takes it within a second.
@@ -134,13 +162,17 @@
 
 // count queues a line that tells how many lines were dropped since the last one.
 func (o *Outlet) count() {
-	usual, urgent := o.Dropped()
-	if usual == o.told[0] && urgent == o.told[1] {
+	var dropped, since [classes]uint64
+	for of := range classes {
+		dropped[of] = o.dropped[of].Load()
+		since[of] = dropped[of] - o.told[of]
+	}
+	if dropped == o.told {
 		return
 	}
-	line := fmt.Sprintf("{\"level\":\"warn\",\"time\":%q,\"usual\":%d,\"urgent\":%d,\"message\":\"log: lines dropped\"}\n",
-		time.Now().Format(time.RFC3339Nano), usual-o.told[0], urgent-o.told[1])
-	o.told = [2]uint64{usual, urgent}
+	line := fmt.Sprintf("{\"level\":\"warn\",\"time\":%q,\"usual\":%d,\"urgent\":%d,\"states\":%d,\"message\":\"log: lines dropped\"}\n",
+		time.Now().Format(time.RFC3339Nano), since[usual], since[urgent], since[state])
+	o.told = dropped
 	o.mu.Lock()
 	o.queue = append(o.queue, line...)
 	o.mu.Unlock()
--- a/internal/logs/outlet/outlet_test.go
+++ b/internal/logs/outlet/outlet_test.go
@@ -62,3 +62,25 @@
 		}
 	})
 }
+
+// TestStatesAreKeptInAFlood floods an outlet with requests of both levels in a second in which a dependency is lost.
+func TestStatesAreKeptInAFlood(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var to bytes.Buffer
+		o := outlet.New(&to)
+		requests, states := zerolog.New(o), zerolog.New(o.States())
+		for range 5000 {
+			requests.Info().Msg("request")
+			requests.Warn().Msg("request")
+		}
+		states.Info().Msg("detached")
+		states.Warn().Msg("stopping")
+		time.Sleep(3 * time.Second)
+		o.Close()
+		for _, line := range []string{`"detached"`, `"stopping"`} {
+			if !strings.Contains(to.String(), line) {
+				t.Errorf("%s is lost in the flood", line)
+			}
+		}
+	})
+}
