Elect in one round after a restart, and let daemons learn services while a leader settles

The first message of each new link between control instances was dropped, since the link emptied its queue when it began: the first round of votes was lost. And a table took a list of other services for one that it held, where no target had changed since the last.

Ruled out: the start of the processes (0.1 s), the announcements (0.8 s, before the leader).

--- a/internal/membership/target/table.go
+++ b/internal/membership/target/table.go
@@ -53,7 +53,8 @@
 	switch {
 	case epoch < t.epoch:
 		return ErrStale.New("delta of epoch %d, the table holds epoch %d", epoch, t.epoch)
-	case epoch == t.epoch && (to < t.version || to == t.version && !whole):
+	// What lists other services from the start may lead to the version that is held.
+	case epoch == t.epoch && (to < t.version || to == t.version && !whole && from > 0):
 		return nil
 	case !whole && from > 0 && (epoch > t.epoch || from > t.version):
 		return ErrGap.New("delta from version %d of epoch %d, the table holds %d of %d", from, epoch, t.version, t.epoch)
--- a/internal/store/link.go
+++ b/internal/store/link.go
@@ -35,8 +35,8 @@
 
 func (l *link) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		l.drop()
 		l.sendUntilLost(ctx)
+		l.drop()
 		pause(ctx, linkRetryDelay)
 	}
 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -176,3 +176,25 @@
 		c.stop()
 	})
 }
+
+// TestRestartedMembersElectInOneRound stops all members and starts them at one moment, as after a loss of power. The first of
+// them campaigns after twice the election timeout at the latest, and nobody has sent anything before.
+func TestRestartedMembersElectInOneRound(t *testing.T) {
+	const bound = 2*300*time.Millisecond + 50*time.Millisecond // of election timeouts and a heartbeat
+	for range 10 {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, 5)
+			c.propose("one")
+			c.stop()
+			for _, one := range c.instances {
+				c.start(one, false)
+			}
+			began := time.Now()
+			c.leader()
+			if took := time.Since(began); took > bound {
+				t.Errorf("a leader after %s, want at most %s", took, bound)
+			}
+			c.stop()
+		})
+	}
+}
