Keep calls in their failure domain while all are full, where bytes between domains cost

Cause: under pressure the near target lost its precedence, and the two candidates of a choice were drawn from all domains: with four domains three of four calls left theirs, for targets as full. Now one candidate is of the own domain.

--- a/internal/membership/target/farcost_test.go
+++ b/internal/membership/target/farcost_test.go
@@ -53,3 +53,41 @@
 		t.Errorf("under far more load %d of 100 go to the near target", near)
 	}
 }
+
+// TestCallsStayNearWhileAllAreFull overloads a service with a target in each of four failure domains, all under the same
+// pressure, as in a surge everywhere. Before, three of four calls left their domain.
+func TestCallsStayNearWhileAllAreFull(t *testing.T) {
+	const wanted = 95 // of 100 calls
+	table := target.NewTable()
+	chooser := target.NewChooser(table, target.WithFailureDomain("east"), target.WithFarCost(1.3))
+	domains := []string{"east", "north", "south", "west"}
+	var changes []target.Change
+	for _, domain := range domains {
+		changes = append(changes, target.Change{Target: target.Target{Name: domain, Service: "courts", FailureDomain: domain, State: target.Ready, Slots: 10, Incarnation: 1}})
+	}
+	if err := table.Apply(1, 0, 1, true, changes); err != nil {
+		t.Fatal(err)
+	}
+	now := time.Unix(1_700_000_000, 0)
+	full := priority.Level{Priority: 3, Share: 0.5, ValidUntil: now.Add(time.Second)}
+	for _, name := range domains {
+		for range 10 {
+			chooser.Sent(now, name)
+		}
+		chooser.Answered(now, name, target.Observation{Latency: 10 * time.Millisecond, Kind: target.OK, Level: full})
+	}
+	random := rand.New(rand.NewPCG(1, 1))
+	near := 0
+	for range 100 {
+		chosen, ok, _ := chooser.Choose(now, random.Uint64(), "courts", priority.Origin{}, nil)
+		if !ok {
+			t.Fatal("nothing is chosen")
+		}
+		if chosen.Target.Name == "east" {
+			near++
+		}
+	}
+	if near < wanted {
+		t.Errorf("%d of 100 calls stay in their failure domain, want %d", near, wanted)
+	}
+}
--- a/internal/membership/target/selection.go
+++ b/internal/membership/target/selection.go
@@ -11,6 +11,7 @@
 
 const (
 	tierNear  tier = iota // own failure domain, no sign of pressure
+	tierHome              // own failure domain, under pressure
 	tierAny               // able to serve
 	tierWarm              // still warming
 	tierEject             // ejected for failures: last resort
@@ -52,7 +53,7 @@
 			s.more = append(s.more, t)
 		}
 	}
-	s.counts[tierAny] += s.counts[tierNear]
+	s.counts[tierAny] += s.counts[tierNear] + s.counts[tierHome]
 }
 
 func (s *selection) tierOf(m *member, exclude []string) tier {
@@ -71,10 +72,12 @@
 		return tierEject
 	case target.State == Warming:
 		return tierWarm
-	case target.FailureDomain == s.chooser.failureDomain && !s.pressed(m):
-		return tierNear
-	default:
+	case target.FailureDomain != s.chooser.failureDomain:
 		return tierAny
+	case s.pressed(m):
+		return tierHome
+	default:
+		return tierNear
 	}
 }
 
@@ -89,7 +92,7 @@
 func (s *selection) nth(t tier, n int) *member {
 	for i, m := range s.members {
 		of := s.sorted(i)
-		if of != t && (t != tierAny || of != tierNear) {
+		if of != t && (t != tierAny || of > tierAny) {
 			continue
 		}
 		if n == 0 {
@@ -112,7 +115,10 @@
 
 // pick takes the cheaper of two random candidates of the best tier that has any.
 func (s *selection) pick(random uint64) *member {
-	for t := tierNear; t < tierNone; t++ {
+	if s.counts[tierNear] > 0 {
+		return s.pickOf(tierNear, random)
+	}
+	for t := tierAny; t < tierNone; t++ {
 		if t > tierAny && s.shed > 0 {
 			return nil
 		}
@@ -123,14 +129,22 @@
 	return nil
 }
 
+// pickOf compares two candidates of a tier. Where far targets cost more, and the own failure domain is under pressure, one of
+// them is of it: calls leave it for what is clearly cheaper, not for what is as full.
 func (s *selection) pickOf(t tier, random uint64) *member {
 	n := s.counts[t]
-	first := int(uint32(random)) % n
-	a := s.nth(t, first)
 	if n == 1 {
-		return a
+		return s.nth(t, 0)
+	}
+	first, second := int(uint32(random)), int(random>>32)
+	other := (first%n + 1 + second%(n-1)) % n
+	a, b := s.nth(t, first%n), s.nth(t, other)
+	if homes := s.counts[tierHome]; t == tierAny && homes > 0 && s.chooser.farCost > 1 {
+		a = s.nth(tierHome, first%homes)
+		if a == b {
+			b = s.nth(t, (other+1)%n)
+		}
 	}
-	b := s.nth(t, (first+1+int(random>>32)%(n-1))%n)
 	latencyA, latencyB := a.expectedLatency(s.at), b.expectedLatency(s.at)
 	if latencyA == 0 || latencyB == 0 {
 		latencyA, latencyB = 1, 1 // one is not measured yet
