--- a/internal/baseline/limits/grants.go
+++ b/internal/baseline/limits/grants.go
@@ -155,7 +155,7 @@
 	s.owner = limit.NewOwner(s.now, limit.WithOwnerStart(holdOff))
 	s.owner.SetBuckets(s.now, s.buckets())
 	for _, d := range s.daemons {
-		d.holder.Disconnect()
+		d.holder.Disconnect(s.now)
 		s.flush(d)
 	}
 }
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -183,10 +183,14 @@
 		}
 		held = held || !answered
 	}
+	opened := s.leadership.owner.Opened(now)
 	s.leadership.ownerMu.Unlock()
 	if held {
 		s.control.holdAsk()
 	}
+	if held && opened && len(grants) == 0 {
+		s.send(&peerpb.ControlMessage{Body: &peerpb.ControlMessage_Grants{Grants: &peerpb.Grants{}}})
+	}
 	s.sendGrants(grants)
 }
 
--- a/internal/daemon/decisions.go
+++ b/internal/daemon/decisions.go
@@ -47,7 +47,8 @@
 	Hint(workspace string) time.Duration
 	Idle(now time.Time) []limit.Return
 	Drop() []limit.Return
-	Disconnect()
+	Heard(now time.Time)
+	Disconnect(now time.Time)
 }
 
 // A retryBudget is a retry.Budget, or one that is recorded.
--- a/internal/daemon/link.go
+++ b/internal/daemon/link.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"sapphirespread.example/internal/host/boottime"
 	"sapphirespread.example/internal/peer/peerpb"
 )
 
@@ -18,7 +19,7 @@
 	askPeriod        = 10 * time.Millisecond // a small part of limit.DefaultPrefetch; a call that waits is asked for at once
 	quietAskPeriod   = 100 * time.Millisecond
 	quietAfter       = time.Second
-	confirmTimeout   = 1500 * time.Millisecond
+	confirmTimeout   = time.Second
 	reconnectPause   = 50 * time.Millisecond
 	reconnectSpread  = 150 * time.Millisecond
 	maxQueuedReports = 4096
@@ -165,7 +166,7 @@
 	l.leader = ""
 	l.mu.Unlock()
 	l.answers.failAll()
-	l.daemon.holder.Disconnect()
+	l.daemon.holder.Disconnect(boottime.Now())
 	if known {
 		l.daemon.record("control", "detached from control")
 	}
--- a/internal/daemon/linkgrants.go
+++ b/internal/daemon/linkgrants.go
@@ -45,9 +45,12 @@
 	return s.stream.Send(&peerpb.DaemonMessage{Body: &peerpb.DaemonMessage_Returns{Returns: returns}})
 }
 
-// acceptGrants hands grants to the calls that wait for them.
+// acceptGrants hands grants to the calls that wait for them. No grants tell that the owner holds asks back.
 func (s *linkSession) acceptGrants(grants []*peerpb.Grant) {
 	d := s.link.daemon
+	if len(grants) == 0 {
+		d.holder.Heard(boottime.Now())
+	}
 	for _, granted := range grants {
 		now := boottime.Now()
 		grant := limit.Grant{
--- a/internal/trace/holder.go
+++ b/internal/trace/holder.go
@@ -95,13 +95,9 @@
 }
 
 // Disconnect records that the connection to the owner was lost.
-func (h *Holder) Disconnect() {
-	h.disconnect(time.Now())
-}
-
-func (h *Holder) disconnect(now time.Time) {
+func (h *Holder) Disconnect(now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.Holder.Disconnect()
+	h.Holder.Disconnect(now)
 	h.stream.add(HolderStep{At: now.Sub(h.start), Call: Disconnect})
 }
--- a/internal/trace/holderstep.go
+++ b/internal/trace/holderstep.go
@@ -77,7 +77,7 @@
 	case Drop:
 		h.drop(now)
 	case Disconnect:
-		h.disconnect(now)
+		h.Disconnect(now)
 	case Quiet:
 		s.poll(h, now)
 	}
--- a/limit/holder.go
+++ b/limit/holder.go
@@ -18,7 +18,9 @@
 	margin     float64
 	coast      time.Duration
 	lastAsk    atomic.Uint64
-	heardAt    atomic.Pointer[time.Time] // when the owner answered last
+	heardAt    atomic.Pointer[time.Time] // when the owner gave the last sign of life
+	pending    atomic.Pointer[time.Time] // when the first ask was sent of those that came after it
+	lostAt     atomic.Pointer[time.Time] // when the connection to the owner was lost
 	shards     [holderShards]shard
 }
 
@@ -45,13 +47,25 @@
 	return a.spend(now, tokens) || h.coast > 0 && a.coasts(now, tokens, h.silence(now), h.coast)
 }
 
-// silence returns how long the owner has answered nothing.
+// silence returns how long the owner has owed a sign of life: since an ask that it has not answered, or since the connection
+// to it was lost. An owner that is not asked owes none.
 func (h *Holder) silence(now time.Time) time.Duration {
 	heardAt := h.heardAt.Load()
 	if heardAt == nil {
 		return math.MaxInt64
 	}
-	return now.Sub(*heardAt)
+	silence := time.Duration(0)
+	for _, since := range []*time.Time{h.pending.Load(), h.lostAt.Load()} {
+		if since != nil && since.After(*heardAt) {
+			silence = max(silence, now.Sub(*since))
+		}
+	}
+	return silence
+}
+
+// Heard notes a sign of life of the owner that brings no grant, such as that it holds an ask back.
+func (h *Holder) Heard(now time.Time) {
+	h.heardAt.Store(&now)
 }
 
 // Wait notes that a request waits for a token of the workspace.
@@ -76,13 +90,25 @@
 			}
 		}
 	}
+	if len(asks) > 0 && !h.owed() {
+		h.pending.Store(&now)
+	}
 	return asks
 }
 
+// owed reports whether an ask was sent since the owner gave its last sign of life.
+func (h *Holder) owed() bool {
+	pending, heardAt := h.pending.Load(), h.heardAt.Load()
+	return pending != nil && (heardAt == nil || pending.After(*heardAt))
+}
+
 // Accept takes a grant in, and tells whether it brought tokens for waiting requests. A grant that answers no
 // open ask, or a second one for the same ask, is ignored.
 func (h *Holder) Accept(now time.Time, g Grant) bool {
-	h.heardAt.Store(&now)
+	// An owner that does not grant yet answers with nothing; it knows no more than none.
+	if g.Tokens > 0 || g.RetryAfter > 0 {
+		h.Heard(now)
+	}
 	a := h.shard(g.Workspace).find(g.Workspace)
 	if a == nil {
 		return false
@@ -125,7 +151,10 @@
 }
 
 // Disconnect forgets the asks that are open, since their answers are lost with the connection to the owner.
-func (h *Holder) Disconnect() {
+func (h *Holder) Disconnect(now time.Time) {
+	if lostAt, heardAt := h.lostAt.Load(), h.heardAt.Load(); lostAt == nil || heardAt != nil && !lostAt.After(*heardAt) {
+		h.lostAt.Store(&now)
+	}
 	for i := range h.shards {
 		for _, a := range h.shards[i].accounts() {
 			a.disconnect()
--- a/limit/owner.go
+++ b/limit/owner.go
@@ -88,6 +88,11 @@
 	return Grant{}, false
 }
 
+// Opened reports whether the hold-off is over, so that what is held back waits for tokens alone.
+func (o *Owner) Opened(now time.Time) bool {
+	return !now.Before(o.opensAt)
+}
+
 // Poll answers the held asks for which there are tokens now, or that were held for the maximum.
 func (o *Owner) Poll(now time.Time) []HolderGrant {
 	var answers []HolderGrant
