--- a/internal/daemon/doomed.go
+++ b/internal/daemon/doomed.go
@@ -7,19 +7,26 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"sapphirespread.example/priority"
 	"sapphirespread.example/refusal"
 )
 
+// doomedQuiet is how long no request of a callee is refused before that is told as its end: the memory of the throttle.
+const doomedQuiet = time.Second
+
 // doomed refuses requests at their entry while nearly all of those like them fail after they have run. Calls that a running
 // request makes are let through: their refusal would fail what runs already.
 type doomed struct {
+	logger   zerolog.Logger
 	mu       sync.Mutex
 	throttle *priority.Throttle
+	refused  map[priority.Callee]time.Time // when a request of the callee was refused last
 }
 
-func newDoomed() *doomed {
-	return &doomed{throttle: priority.NewThrottle()}
+func newDoomed(logger zerolog.Logger) *doomed {
+	return &doomed{logger: logger, throttle: priority.NewThrottle(), refused: make(map[priority.Callee]time.Time)}
 }
 
 // refuses refuses a request that enters where it would hardly be answered well.
@@ -28,15 +35,37 @@
 		return nil
 	}
 	now := time.Now()
+	callee := c.callee()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.throttle.Refuses(now, c.callee(), rand.Float64()) {
+	refused := d.throttle.Refuses(now, callee, rand.Float64())
+	offered, succeeded := d.throttle.Lately(now, callee)
+	d.tell(now, callee, refused, offered, succeeded)
+	if !refused {
 		return nil
 	}
-	offered, succeeded := d.throttle.Lately(now, c.callee())
 	return refuse(refusal.Overloaded, fmt.Sprintf("nearly all requests like it fail: %.1f of %.1f were answered well lately", succeeded, offered))
 }
 
+// tell logs the first refusal of a callee, and that there was none for a while; d.mu is held.
+func (d *doomed) tell(now time.Time, callee priority.Callee, refused bool, offered, succeeded float64) {
+	last, refusing := d.refused[callee]
+	state := ""
+	switch {
+	case refused:
+		d.refused[callee] = now
+		state = "entry: requests of a route are refused, as nearly all fail"
+	case refusing && now.Sub(last) > doomedQuiet:
+		delete(d.refused, callee)
+		state = "entry: requests of a route are let through again"
+	}
+	if state == "" || refused && refusing {
+		return
+	}
+	d.logger.Info().Str("service", callee.Service).Str("route", callee.Route).Float64("offered-lately", offered).
+		Float64("succeeded-lately", succeeded).Msg(state)
+}
+
 // ended takes in how a request that entered and was sent ended; what has not run, or was left, tells nothing.
 func (d *doomed) ended(c *call, got *answer, failed *attemptError) {
 	if c.nested || failed != nil && (failed.notRun || failed.kind == refusal.Cancelled) {
--- /dev/null
+++ b/internal/daemon/doomed_test.go
@@ -0,0 +1,58 @@
+package daemon_test
+
+import (
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// TestEntryRefusesWhatNearlyAlwaysFails lets a backend server fail all requests for a while, as it does where a call that it
+// needs fails, and expects the entry to refuse most of them as not run, to tell so, and to serve again afterwards.
+func TestEntryRefusesWhatNearlyAlwaysFails(t *testing.T) {
+	f := newFleet(t)
+	f.publish(baseSet())
+	var failing atomic.Bool
+	var runs atomic.Int64
+	f.backend("courts-1", "courts", func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		if failing.Load() {
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+	})
+	entry, _, _ := f.daemon("entry")
+	call := func() reply { return ask(entry, http.MethodGet, "/courts/1", "club", "") }
+	f.eventually("an answer", func() bool { return call().status == http.StatusOK })
+
+	failing.Store(true)
+	f.eventually("the entry to refuse", func() bool { return call().refusal() == "overloaded" })
+	ran, refused := runs.Load(), int64(0)
+	const asked = 400
+	for range asked {
+		got := call()
+		if got.refusal() != "overloaded" {
+			continue
+		}
+		refused++
+		if got.header.Get(headerRunState) != "not-run" {
+			t.Errorf("refused with the state %q", got.header.Get(headerRunState))
+		}
+	}
+	if ran = runs.Load() - ran; ran+refused < asked || refused < asked/2 {
+		t.Errorf("%d of %d requests refused, %d ran", refused, asked, ran)
+	}
+	failing.Store(false)
+	f.eventually("all to be served again", func() bool {
+		for range 20 {
+			if call().status != http.StatusOK {
+				return false
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		return true
+	})
+	for _, line := range []string{"are refused, as nearly all fail", "are let through again"} {
+		f.eventually("the log to tell that requests "+line, func() bool { return call().status > 0 && strings.Contains(f.logs.String(), line) })
+	}
+}
