--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -55,7 +55,7 @@
 	tokenWait   *tokenWait
 	admitter    *admitter
 	deeper      *deeper
-	doomed      *doomed
+	throttle    *entryThrottle
 	budgets     *budgets
 	resends     *retry.Resends
 	watch       watch
@@ -103,7 +103,7 @@
 	d.budgets = newBudgets(d.recorder)
 	d.setDecisions()
 	d.deeper = newDeeper(d.chooser)
-	d.doomed = newDoomed(d.logger)
+	d.throttle = newEntryThrottle(d.logger)
 	d.link = newLink(d)
 	d.tokenWait = newTokenWait(d.holder, d.link.kick)
 	d.liveness = newLiveness(d.alive, d.chooser.Heard)
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -42,7 +42,7 @@
 		if refused := d.shed(c); refused != nil {
 			return refused
 		}
-		if refused := d.doomed.refuses(c); refused != nil || c.workspace == "" {
+		if refused := d.throttle.refuses(c); refused != nil || c.workspace == "" {
 			return refused
 		}
 		began := time.Now()
@@ -244,7 +244,7 @@
 		return
 	}
 	answer, refused := d.dispatch(ctx, c)
-	d.doomed.ended(c, answer, refused)
+	d.throttle.ended(c, answer, refused)
 	if refused != nil {
 		d.refuseCall(w, c, c.wholeID, refused)
 		return
--- a/internal/daemon/doomed.go
+++ b/internal/daemon/entrythrottle.go
@@ -13,65 +13,65 @@
 	"sapphirespread.example/refusal"
 )
 
-// doomedQuiet is how long no request of a callee is refused before that is told as its end: the memory of the throttle.
-const doomedQuiet = time.Second
+// throttleQuiet is how long no request of a callee is refused before that is told as its end: the memory of the throttle.
+const throttleQuiet = time.Second
 
-// doomed refuses requests at their entry while nearly all of those like them fail after they have run. Calls that a running
+// An entryThrottle refuses requests at their entry while nearly all of those like them fail after they have run. Calls that a running
 // request makes are let through: their refusal would fail what runs already.
-type doomed struct {
+type entryThrottle struct {
 	logger   zerolog.Logger
 	mu       sync.Mutex
-	throttle *priority.Throttle
+	decision *priority.Throttle
 	refused  map[priority.Callee]time.Time // when a request of the callee was refused last
 }
 
-func newDoomed(logger zerolog.Logger) *doomed {
-	return &doomed{logger: logger, throttle: priority.NewThrottle(), refused: make(map[priority.Callee]time.Time)}
+func newEntryThrottle(logger zerolog.Logger) *entryThrottle {
+	return &entryThrottle{logger: logger, decision: priority.NewThrottle(), refused: make(map[priority.Callee]time.Time)}
 }
 
 // refuses refuses a request that enters where it would hardly be answered well.
-func (d *doomed) refuses(c *call) *attemptError {
+func (e *entryThrottle) refuses(c *call) *attemptError {
 	if c.nested {
 		return nil
 	}
 	now := time.Now()
 	callee := c.callee()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	refused := d.throttle.Refuses(now, callee, rand.Float64())
-	offered, succeeded := d.throttle.Lately(now, callee)
-	d.tell(now, callee, refused, offered, succeeded)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	refused := e.decision.Refuses(now, callee, rand.Float64())
+	offered, succeeded := e.decision.Lately(now, callee)
+	e.tell(now, callee, refused, offered, succeeded)
 	if !refused {
 		return nil
 	}
 	return refuse(refusal.Overloaded, fmt.Sprintf("nearly all requests like it fail: %.1f of %.1f were answered well lately", succeeded, offered))
 }
 
-// tell logs the first refusal of a callee, and that there was none for a while; d.mu is held.
-func (d *doomed) tell(now time.Time, callee priority.Callee, refused bool, offered, succeeded float64) {
-	last, refusing := d.refused[callee]
+// tell logs the first refusal of a callee, and that there was none for a while; e.mu is held.
+func (e *entryThrottle) tell(now time.Time, callee priority.Callee, refused bool, offered, succeeded float64) {
+	last, refusing := e.refused[callee]
 	state := ""
 	switch {
 	case refused:
-		d.refused[callee] = now
+		e.refused[callee] = now
 		state = "entry: requests of a route are refused, as nearly all fail"
-	case refusing && now.Sub(last) > doomedQuiet:
-		delete(d.refused, callee)
+	case refusing && now.Sub(last) > throttleQuiet:
+		delete(e.refused, callee)
 		state = "entry: requests of a route are let through again"
 	}
 	if state == "" || refused && refusing {
 		return
 	}
-	d.logger.Info().Str("service", callee.Service).Str("route", callee.Route).Float64("offered-lately", offered).
+	e.logger.Info().Str("service", callee.Service).Str("route", callee.Route).Float64("offered-lately", offered).
 		Float64("succeeded-lately", succeeded).Msg(state)
 }
 
 // ended takes in how a request that entered and was sent ended; what has not run, or was left, tells nothing.
-func (d *doomed) ended(c *call, got *answer, failed *attemptError) {
+func (e *entryThrottle) ended(c *call, got *answer, failed *attemptError) {
 	if c.nested || failed != nil && (failed.notRun || failed.kind == refusal.Cancelled) {
 		return
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.throttle.Ended(time.Now(), c.callee(), failed == nil && got.status < http.StatusInternalServerError)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.decision.Ended(time.Now(), c.callee(), failed == nil && got.status < http.StatusInternalServerError)
 }
