--- a/internal/daemon/entrythrottle.go
+++ b/internal/daemon/entrythrottle.go
@@ -39,16 +39,16 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	refused := e.decision.Refuses(now, callee, rand.Float64())
-	offered, succeeded := e.decision.Lately(now, callee)
-	e.tell(now, callee, refused, offered, succeeded)
+	e.tell(now, callee, refused)
 	if !refused {
 		return nil
 	}
+	offered, succeeded := e.decision.Lately(now, callee)
 	return refuse(refusal.Overloaded, fmt.Sprintf("nearly all requests like it fail: %.1f of %.1f were answered well lately", succeeded, offered))
 }
 
 // tell logs the first refusal of a callee, and that there was none for a while; e.mu is held.
-func (e *entryThrottle) tell(now time.Time, callee priority.Callee, refused bool, offered, succeeded float64) {
+func (e *entryThrottle) tell(now time.Time, callee priority.Callee, refused bool) {
 	last, refusing := e.refused[callee]
 	state := ""
 	switch {
@@ -62,6 +62,7 @@
 	if state == "" || refused && refusing {
 		return
 	}
+	offered, succeeded := e.decision.Lately(now, callee)
 	e.logger.Info().Str("service", callee.Service).Str("route", callee.Route).Float64("offered-lately", offered).
 		Float64("succeeded-lately", succeeded).Msg(state)
 }
--- a/internal/membership/target/farcost_test.go
+++ b/internal/membership/target/farcost_test.go
@@ -9,18 +9,24 @@
 	"sapphirespread.example/priority"
 )
 
-// TestFarTargetsWaitForAClearDifference offers a near and a far target under the same pressure, and then a near one with
-// more than twice the load.
-func TestFarTargetsWaitForAClearDifference(t *testing.T) {
+// eastern returns a chooser in the east among targets with their failure domains, for which far targets cost more.
+func eastern(t *testing.T, domains map[string]string) *target.Chooser {
+	t.Helper()
 	table := target.NewTable()
-	chooser := target.NewChooser(table, target.WithFailureDomain("east"), target.WithFarCost(1.3))
 	var changes []target.Change
-	for name, domain := range map[string]string{"near": "east", "far": "west"} {
+	for name, domain := range domains {
 		changes = append(changes, target.Change{Target: target.Target{Name: name, Service: "courts", FailureDomain: domain, State: target.Ready, Slots: 10, Incarnation: 1}})
 	}
 	if err := table.Apply(1, 0, 1, true, changes); err != nil {
 		t.Fatal(err)
 	}
+	return target.NewChooser(table, target.WithFailureDomain("east"), target.WithFarCost(1.3))
+}
+
+// TestFarTargetsWaitForAClearDifference offers a near and a far target under the same pressure, and then a near one with
+// more than twice the load.
+func TestFarTargetsWaitForAClearDifference(t *testing.T) {
+	chooser := eastern(t, map[string]string{"near": "east", "far": "west"})
 	now := time.Unix(1_700_000_000, 0)
 	random := rand.New(rand.NewPCG(1, 1))
 	for _, name := range []string{"near", "far"} {
@@ -58,16 +64,8 @@
 // pressure, as in a surge everywhere. Before, three of four calls left their domain.
 func TestCallsStayNearWhileAllAreFull(t *testing.T) {
 	const wanted = 95 // of 100 calls
-	table := target.NewTable()
-	chooser := target.NewChooser(table, target.WithFailureDomain("east"), target.WithFarCost(1.3))
 	domains := []string{"east", "north", "south", "west"}
-	var changes []target.Change
-	for _, domain := range domains {
-		changes = append(changes, target.Change{Target: target.Target{Name: domain, Service: "courts", FailureDomain: domain, State: target.Ready, Slots: 10, Incarnation: 1}})
-	}
-	if err := table.Apply(1, 0, 1, true, changes); err != nil {
-		t.Fatal(err)
-	}
+	chooser := eastern(t, map[string]string{"east": "east", "north": "north", "south": "south", "west": "west"})
 	now := time.Unix(1_700_000_000, 0)
 	full := priority.Level{Priority: 3, Share: 0.5, ValidUntil: now.Add(time.Second)}
 	for _, name := range domains {
