Keep an admission's next tick where it was, however many calls come and end meanwhile

Cause: NextTick returned now plus 10 ms, and the daemon set its timer anew after each offer, end and cancellation, so that at a target with more than 100 of these a second the tick never came. Nested calls stayed in the queue until their deadline, and not for two service times; calls that could not meet their deadline were told so only when it had passed; all that time they held the slots of the services above. Ruled out: the daemon's processor (0.27 of 0.64 cores at most), losses of the network (the seconds before any), a queue too long. The test asks for the tick after each of many offers, and failed before.

--- a/priority/admission.go
+++ b/priority/admission.go
@@ -32,6 +32,7 @@
 	service       serviceTimes
 	shedder       *shedder
 	droppedAt     time.Time // when late requests were dropped last
+	tickAt        time.Time // when Tick is due, or zero
 	stats         Stats
 }
 
@@ -99,15 +100,20 @@
 
 // Tick refuses the waiting requests that can't meet their deadline any more, or have waited for too long.
 func (a *Admission) Tick(now time.Time) []Verdict {
+	a.tickAt = time.Time{}
 	return a.fill(now, a.dropImpatient(now, a.dropLate(now, a.advance(now, nil))))
 }
 
-// NextTick returns when Tick has something to do next, or the zero time where nothing waits.
+// NextTick returns when Tick has something to do next, or the zero time where nothing waits. Until then it returns the same
+// time, however often it is asked.
 func (a *Admission) NextTick(now time.Time) time.Time {
-	if a.queue.len() == 0 {
-		return time.Time{}
+	switch {
+	case a.queue.len() == 0:
+		a.tickAt = time.Time{}
+	case a.tickAt.IsZero():
+		a.tickAt = now.Add(tickInterval)
 	}
-	return now.Add(tickInterval)
+	return a.tickAt
 }
 
 // Announce takes the slots that the backend server announces; they are where the limit starts from.
--- a/priority/admission_test.go
+++ b/priority/admission_test.go
@@ -215,3 +215,32 @@
 		t.Errorf("left the queue: %v, want 10 and 12", left)
 	}
 }
+
+// TestTickIsDueAtABusyTarget asks for the next tick after each of many offers and ends, as a busy target does: it stays due at the
+// time that was said first, and is set anew by Tick, or once nothing has waited.
+func TestTickIsDueAtABusyTarget(t *testing.T) {
+	const within = 20 * time.Millisecond
+	a := priority.NewAdmission(priority.WithSlots(1))
+	offer := func(now time.Time, id uint64) {
+		a.Offer(now, priority.Request{ID: id, Share: 1, Deadline: now.Add(time.Minute)})
+	}
+	offer(start, 1)
+	if due := a.NextTick(start); !due.IsZero() {
+		t.Errorf("due at %s with nothing waiting", due)
+	}
+	for id := range uint64(5) {
+		offer(start, 2+id)
+	}
+	first := a.NextTick(start)
+	for id := range uint64(50) {
+		now := start.Add(time.Duration(id) * time.Millisecond)
+		offer(now, 10+id)
+		if due := a.NextTick(now); !due.Equal(first) || due.Sub(start) > within {
+			t.Fatalf("after %s due at %s, said first %s", now.Sub(start), due, first)
+		}
+	}
+	a.Tick(first)
+	if due := a.NextTick(first); !due.After(first) || due.Sub(first) > within {
+		t.Errorf("after the tick at %s due at %s", first, due)
+	}
+}
