--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -180,6 +180,7 @@
 // lead follows the store: it begins and ends leaderships, and does what is due for the present one.
 func (c *Control) lead(ctx context.Context) {
 	polls := time.NewTimer(pollPeriod)
+	polling := true // polls is set
 	defer polls.Stop()
 	expiries := time.NewTicker(expirePeriod)
 	defer expiries.Stop()
@@ -192,11 +193,17 @@
 			c.follow(boottime.Now())
 		case <-polls.C:
 			now := boottime.Now()
-			if l := c.leadership.Load(); l != nil && c.leadsAt(l.term, now) && l.poll(now) {
+			l := c.leadership.Load()
+			polling = l != nil && c.leadsAt(l.term, now) && l.poll(now)
+			if polling {
 				polls.Reset(pollPeriod)
 			}
 		case <-c.held:
-			polls.Reset(pollPeriod)
+			// A poll that is due stays due, however often asks are held.
+			if !polling {
+				polls.Reset(pollPeriod)
+				polling = true
+			}
 		case <-expiries.C:
 			now := boottime.Now()
 			c.follow(now)
