--- a/internal/daemon/subcall.go
+++ b/internal/daemon/subcall.go
@@ -62,15 +62,7 @@
 	c.callerService = d.settings.Service
 	c.nested = true
 	c.workspace = parent.workspace
-	c.wholeWorkspace = parent.wholeWorkspace
-	c.share = parent.share
-	c.shed = parent.shed
-	c.priority = parent.priority
-	c.parent = parent
-	c.depth = parent.depth + 1
-	if parent.deadline.Before(c.deadline) {
-		c.deadline = parent.deadline
-	}
+	c.continues(parent)
 	if c.claimed {
 		c.idempotencyKey = deriveKey(r, parent, matched, name)
 	}
--- a/internal/membership/target/farcost_test.go
+++ b/internal/membership/target/farcost_test.go
@@ -36,26 +36,13 @@
 		// A refusal is a sign of pressure, which takes the near target's precedence away.
 		chooser.Answered(now, name, target.Observation{Latency: time.Millisecond, Kind: target.Refused})
 	}
-	share := func() int {
-		near := 0
-		for range 100 {
-			chosen, ok, _ := chooser.Choose(now, random.Uint64(), "courts", priority.Origin{}, nil)
-			if !ok {
-				t.Fatal("nothing is chosen")
-			}
-			if chosen.Target.Name == "near" {
-				near++
-			}
-		}
-		return near
-	}
-	if near := share(); near != 100 {
+	if near := callsTo(t, "near", chooser, now, random); near != 100 {
 		t.Errorf("under the same load %d of 100 go to the near target", near)
 	}
 	for range 16 {
 		chooser.Sent(now, "near")
 	}
-	if near := share(); near != 0 {
+	if near := callsTo(t, "near", chooser, now, random); near != 0 {
 		t.Errorf("under far more load %d of 100 go to the near target", near)
 	}
 }
@@ -75,17 +62,23 @@
 		chooser.Answered(now, name, target.Observation{Latency: 10 * time.Millisecond, Kind: target.OK, Level: full})
 	}
 	random := rand.New(rand.NewPCG(1, 1))
-	near := 0
+	if near := callsTo(t, "east", chooser, now, random); near < wanted {
+		t.Errorf("%d of 100 calls stay in their failure domain, want %d", near, wanted)
+	}
+}
+
+// callsTo returns how many of 100 calls go to the target of that name.
+func callsTo(t *testing.T, name string, chooser *target.Chooser, now time.Time, random *rand.Rand) int {
+	t.Helper()
+	calls := 0
 	for range 100 {
 		chosen, ok, _ := chooser.Choose(now, random.Uint64(), "courts", priority.Origin{}, nil)
 		if !ok {
 			t.Fatal("nothing is chosen")
 		}
-		if chosen.Target.Name == "east" {
-			near++
+		if chosen.Target.Name == name {
+			calls++
 		}
 	}
-	if near < wanted {
-		t.Errorf("%d of 100 calls stay in their failure domain, want %d", near, wanted)
-	}
+	return calls
 }
