Remove a lost voter before its replacement is promoted

Cause: in an open membership a replacement was promoted as soon as it had caught up, and the voter that it replaced was only taken out three election timeouts later. Four nodes lost and replaced one after another within that time left eight voters of which four were gone, so no vote reached a quorum of five; nothing was withheld by a live voter. Ruled out: the returning member and the eight uncommitted entries, which no voter needs. Change: at the wanted number of voters a replacement waits until each voter has answered since it was admitted, or is taken out; caught-up replacements count when a surplus of voters is looked for. Voters stay at the wanted number, so a commit lasts on as many disks.

--- a/replica/membership.go
+++ b/replica/membership.go
@@ -83,7 +83,7 @@
 		return
 	}
 	for _, member := range r.Members() {
-		if member.Role == Returning && r.caughtUp(now, member.ID) {
+		if member.Role == Returning && r.caughtUp(now, member.ID) && !r.awaitsRemoval(member.ID) {
 			member.Role = Voter
 			_, _, _ = r.proposeMembers(now, r.Members().with(member))
 			return
--- a/replica/openmembership_test.go
+++ b/replica/openmembership_test.go
@@ -104,21 +104,33 @@
 // at a time.
 func TestOpenMembershipIsSafeUnderAnyFault(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		sim := newFiveVoters(t, binary.LittleEndian.Uint64(rapid.SliceOfN(rapid.Byte(), 8, 8).Draw(t, "seed")))
-		for i := range faultsPerRun {
-			if n := sim.nodes[sim.random.IntN(len(sim.nodes))]; sim.random.IntN(4) == 0 && sim.allVotersWithout(n) {
-				sim.removeForGood(n)
-				sim.joinNode(n.name + string(rune('a'+i)))
-			}
-			sim.injectFault(sim.allVotersWithout)
-		}
-		sim.heal()
-		if !sim.runUntil(2*maxSettleTimeouts*electionTimeout, sim.allNodesVote) {
-			t.Fatalf("not all nodes are voters after healing\n%s", sim.describeMembership())
-		}
+		replaceUnderFaults(t, rapid.SliceOfN(rapid.Byte(), 8, 8).Draw(t, "seed"))
 	})
 }
 
+// TestOpenMembershipRemovesLostVotersBeforePromotion replays a draw in which four nodes were lost and replaced within a
+// few election timeouts. Each replacement was promoted before its predecessor was removed, so half of the voters were
+// gone and no quorum was left.
+func TestOpenMembershipRemovesLostVotersBeforePromotion(t *testing.T) {
+	replaceUnderFaults(t, []byte{0x2, 0x3, 0x1, 0x3, 0x98, 0xbe, 0x1, 0x0})
+}
+
+// replaceUnderFaults injects faults and replaces nodes, all chosen by the seed, and then checks that all nodes vote.
+func replaceUnderFaults(t fataler, seed []byte) {
+	sim := newFiveVoters(t, binary.LittleEndian.Uint64(seed))
+	for i := range faultsPerRun {
+		if n := sim.nodes[sim.random.IntN(len(sim.nodes))]; sim.random.IntN(4) == 0 && sim.allVotersWithout(n) {
+			sim.removeForGood(n)
+			sim.joinNode(n.name + string(rune('a'+i)))
+		}
+		sim.injectFault(sim.allVotersWithout)
+	}
+	sim.heal()
+	if !sim.runUntil(2*maxSettleTimeouts*electionTimeout, sim.allNodesVote) {
+		t.Fatalf("not all nodes are voters after healing\n%s", sim.describeMembership())
+	}
+}
+
 // describeMembership describes each node's status and view of the members.
 func (sim *simulation) describeMembership() string {
 	var text strings.Builder
--- a/replica/progress.go
+++ b/replica/progress.go
@@ -13,6 +13,7 @@
 	inFlight []uint64
 	// snapshotTransfer is set while a snapshot is being sent.
 	snapshotTransfer *snapshotTransfer
+	trackedSince     time.Time
 	lastContactAt    time.Time
 	// leaseStart is when the latest round of heartbeats that the member has answered was sent.
 	leaseStart time.Time
@@ -26,7 +27,7 @@
 }
 
 func newProgress(now time.Time, next uint64) *progress {
-	return &progress{next: next, probing: true, lastContactAt: now}
+	return &progress{next: next, probing: true, trackedSince: now, lastContactAt: now}
 }
 
 // startProbing discards the unanswered appends and continues one append at a time after the last known match.
