Attach to the first of three control instances that answers

Cause: a daemon whose leader fell silent asked one control instance after another, each for up to 1 s. Change: a round of attempts starts one more each 100 ms, at most three side by side, and takes the first that is answered. The leader registers a session with the daemon's second message, so that the attempts given up replace nothing; an instance that cannot show the leader lease refuses at once.

--- a/internal/control/attach.go
+++ b/internal/control/attach.go
@@ -54,16 +54,17 @@
 	return message.GetAttach(), message, nil
 }
 
-// serveSession serves a daemon until its session or the leadership ends.
+// serveSession serves a daemon until its session or the leadership ends. It redirects the daemon if this instance cannot
+// show the leader lease.
 func (c *Control) serveSession(ctx context.Context, l *leadership, attach *peerpb.Attach, stream *peer.Stream) {
-	s := newSession(c, l, attach, stream)
-	if !l.addSession(s) {
+	if !c.holdsLease(l.term) {
+		redirect := &peerpb.Redirect{Reason: "this instance cannot show the leader lease"}
+		_ = stream.Send(&peerpb.ControlMessage{Body: &peerpb.ControlMessage_Redirect{Redirect: redirect}})
 		return
 	}
+	s := newSession(c, l, attach, stream)
 	defer l.removeSession(s)
-	c.record("session", "daemon "+s.daemon+" attached")
 	err := s.run(ctx)
-	c.record("session", "daemon "+s.daemon+" detached")
 	c.logger.Debug().Err(err).Str("daemon", s.daemon).Msg("control: session ended")
 }
 
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -20,7 +20,10 @@
 	attachTimeout      = 2 * time.Second
 )
 
-var errSlowDaemon = errors.New("send queue is full")
+var (
+	errSlowDaemon      = errors.New("send queue is full")
+	errLeadershipEnded = errors.New("leadership has ended")
+)
 
 // A session is the connection of one daemon to the leader.
 type session struct {
@@ -107,28 +110,45 @@
 	if err := s.stream.Send(&peerpb.ControlMessage{Body: &peerpb.ControlMessage_Attached{Attached: attached}}); err != nil {
 		return err
 	}
+	// The daemon attaches through several instances at the same time and keeps one session. It sends nothing more on the
+	// others, which must not replace the kept one.
+	first, err := s.receive()
+	if err != nil {
+		return err
+	}
+	if !s.leadership.addSession(s) {
+		return errLeadershipEnded
+	}
+	s.control.record("session", "daemon "+s.daemon+" attached")
+	defer s.control.record("session", "daemon "+s.daemon+" detached")
+	s.handle(boottime.Now(), first)
 	writeErr := make(chan error, 1)
 	go func() {
 		err := s.writeLoop()
 		s.close()
 		writeErr <- err
 	}()
-	err := s.readLoop()
+	err = s.readLoop()
 	s.close()
 	return errors.Join(err, <-writeErr)
 }
 
 func (s *session) readLoop() error {
 	for {
-		_ = s.stream.SetReadDeadline(time.Now().Add(sessionReadTimeout))
-		message := &peerpb.DaemonMessage{}
-		if err := s.stream.Receive(message); err != nil {
+		message, err := s.receive()
+		if err != nil {
 			return err
 		}
 		s.handle(boottime.Now(), message)
 	}
 }
 
+func (s *session) receive() (*peerpb.DaemonMessage, error) {
+	_ = s.stream.SetReadDeadline(time.Now().Add(sessionReadTimeout))
+	message := &peerpb.DaemonMessage{}
+	return message, s.stream.Receive(message)
+}
+
 func (s *session) handle(now time.Time, message *peerpb.DaemonMessage) {
 	switch body := message.GetBody().(type) {
 	case *peerpb.DaemonMessage_Heartbeat:
--- a/internal/daemon/link.go
+++ b/internal/daemon/link.go
@@ -22,6 +22,8 @@
 	confirmTimeout         = time.Second
 	reconnectDelay         = 50 * time.Millisecond
 	reconnectJitter        = 150 * time.Millisecond
+	maxAttaching           = 3 // one more than the control instances that may be lost at once
+	attachStagger          = 100 * time.Millisecond
 	maxQueuedReports       = 4096
 	maxControlMembers      = 7 // largest cluster size
 )
@@ -75,21 +77,18 @@
 	return l.heartbeatRequested.Swap(false)
 }
 
-// run attaches to control instances until ctx ends, following redirects and retrying after a randomized delay.
+// run attaches to control instances until ctx ends and serves one session after another, with a randomized delay between
+// them.
 func (l *link) run(ctx context.Context) {
-	nextIndex := rand.IntN(maxControlMembers)
-	var redirect netip.AddrPort
+	offset := rand.IntN(maxControlMembers)
 	for ctx.Err() == nil {
-		address := redirect
-		if !address.IsValid() {
-			addresses := l.controlAddresses()
-			address = addresses[nextIndex%len(addresses)]
-			nextIndex++
-		}
-		redirect = l.attach(ctx, address)
-		if !redirect.IsValid() {
-			sleep(ctx, reconnectDelay+rand.N(reconnectJitter))
+		addresses := l.controlAddresses()
+		offset++
+		start := offset % len(addresses)
+		if session := l.attach(ctx, slices.Concat(addresses[start:], addresses[:start])); session != nil {
+			l.serve(ctx, session)
 		}
+		sleep(ctx, reconnectDelay+rand.N(reconnectJitter))
 	}
 }
 
@@ -133,22 +132,14 @@
 	l.advertised = advertised
 }
 
-// attach runs one session with the control instance at address and returns the redirect address, or the zero address.
-func (l *link) attach(ctx context.Context, address netip.AddrPort) netip.AddrPort {
-	openCtx, cancel := context.WithTimeout(ctx, confirmTimeout)
-	defer cancel()
-	stream, err := l.daemon.pool.Open(openCtx, address, kindControl)
-	if err != nil {
-		l.daemon.logger.Debug().Err(err).Stringer("address", address).Msg("link: control instance unreachable")
-		return netip.AddrPort{}
-	}
-	session := newLinkSession(l, stream)
-	redirect, err := session.run(ctx)
+// serve runs an attached session until it ends.
+func (l *link) serve(ctx context.Context, session *linkSession) {
+	session.begin()
+	err := session.serve(ctx)
 	l.markDetached()
 	if ctx.Err() == nil {
-		l.daemon.logger.Info().Err(err).Stringer("address", address).Msg("link: detached from control")
+		l.daemon.logger.Info().Err(err).Stringer("address", session.address).Msg("link: detached from control")
 	}
-	return redirect
 }
 
 func (l *link) markAttached(leader string) {
--- a/internal/daemon/linksession.go
+++ b/internal/daemon/linksession.go
@@ -28,6 +28,8 @@
 type linkSession struct {
 	link             *link
 	stream           *peer.Stream
+	address          netip.AddrPort
+	attached         *peerpb.Attached
 	mu               sync.Mutex
 	unconfirmed      map[uint64]sentHeartbeat
 	sequence         uint64
@@ -51,42 +53,43 @@
 	errRedirected   = errors.New("redirected")
 )
 
-func newLinkSession(l *link, stream *peer.Stream) *linkSession {
+func newLinkSession(l *link, stream *peer.Stream, address netip.AddrPort) *linkSession {
 	return &linkSession{
 		link:        l,
 		stream:      stream,
+		address:     address,
 		unconfirmed: make(map[uint64]sentHeartbeat),
 		confirmedAt: boottime.Now(),
 	}
 }
 
-// run attaches and serves the session until it fails or ctx ends, and returns the redirect address, or the zero
+// attach asks the control instance to attach the daemon. If it is refused, it returns the redirect address, or the zero
 // address.
-func (s *linkSession) run(ctx context.Context) (netip.AddrPort, error) {
-	defer s.stream.Abort()
-	_ = s.stream.SetDeadline(time.Now().Add(confirmTimeout))
+func (s *linkSession) attach() (netip.AddrPort, error) {
 	if err := s.stream.Send(s.attachMessage()); err != nil {
-		return netip.AddrPort{}, fmt.Errorf("attaching: %w", err)
+		return netip.AddrPort{}, fmt.Errorf("attaching at %s: %w", s.address, err)
 	}
 	var first peerpb.ControlMessage
 	if err := s.stream.Receive(&first); err != nil {
-		return netip.AddrPort{}, fmt.Errorf("attaching: %w", err)
+		return netip.AddrPort{}, fmt.Errorf("attaching at %s: %w", s.address, err)
 	}
 	if redirect := first.GetRedirect(); redirect != nil {
 		redirectAddress, _ := netip.ParseAddrPort(redirect.GetAddress())
-		return redirectAddress, fmt.Errorf("attaching: %w: %s", errRedirected, redirect.GetReason())
+		return redirectAddress, fmt.Errorf("attaching at %s: %w: %s", s.address, errRedirected, redirect.GetReason())
 	}
 	if first.GetAttached() == nil {
-		return netip.AddrPort{}, errors.New("attaching: unexpected first message")
+		return netip.AddrPort{}, fmt.Errorf("attaching at %s: unexpected first message", s.address)
 	}
-	if err := s.link.newest.accept(first.GetAttached()); err != nil {
-		return netip.AddrPort{}, err
-	}
-	_ = s.stream.SetDeadline(time.Time{})
+	s.attached = first.GetAttached()
+	return netip.AddrPort{}, nil
+}
+
+// begin makes the session the current one of the link.
+func (s *linkSession) begin() {
+	s.confirmedAt = boottime.Now()
 	s.link.daemon.quarantine.Reset()
-	s.link.setAdvertised(first.GetAttached().GetControlAddresses())
-	s.link.markAttached(first.GetAttached().GetLeader())
-	return netip.AddrPort{}, s.serve(ctx)
+	s.link.setAdvertised(s.attached.GetControlAddresses())
+	s.link.markAttached(s.attached.GetLeader())
 }
 
 func (s *linkSession) serve(ctx context.Context) error {
