Keep a control instance alive while its disk is full

Cause: a log that could not be written or synced ended the store and with it the process. A failed rotation and a corrupt folder still end the process.

--- a/internal/store/disk.go
+++ b/internal/store/disk.go
@@ -68,6 +68,16 @@
 	return d.journal.Sync()
 }
 
+// retryPersist repairs the journal and writes the records again that persist could not write.
+func (d *disk) retryPersist() error {
+	if d.journal.Repairable() {
+		if err := d.journal.Repair(); err != nil {
+			return err
+		}
+	}
+	return d.journal.Sync()
+}
+
 // rotate activates a staged snapshot and starts a new log with the hard state and the given entries, which follow the
 // snapshot.
 func (d *disk) rotate(staged *journal.StagedSnapshot, snapshotBytes int64, hard replica.HardState, entries []replica.Entry) error {
--- a/internal/store/loop.go
+++ b/internal/store/loop.go
@@ -19,7 +19,7 @@
 	for ctx.Err() == nil {
 		s.handleEvent(ctx)
 		s.handleQueuedEvents()
-		if err := s.processReady(ctx); err != nil {
+		if err := s.processReady(ctx); err != nil && ctx.Err() == nil {
 			s.failure = fmt.Errorf("running the store: %w", err)
 			s.logger.Error().Err(err).Msg("store: stopped by a failure")
 			break
@@ -106,11 +106,11 @@
 func (s *Store) handleReady(ctx context.Context, ready replica.Ready) error {
 	s.links.send(ctx, ready.Immediate)
 	if ready.Snapshot != nil {
-		if err := s.installSnapshot(*ready.Snapshot); err != nil {
+		if err := s.installSnapshot(ctx, *ready.Snapshot); err != nil {
 			return err
 		}
 	}
-	if err := s.disk.persist(ready); err != nil {
+	if err := s.persist(ctx, ready); err != nil {
 		return err
 	}
 	s.links.send(ctx, ready.Messages)
--- a/journal/errors.go
+++ b/journal/errors.go
@@ -10,7 +10,7 @@
 	// ErrNewerFormat reports a file in the format of a newer release.
 	ErrNewerFormat = namespace.NewType("newer-format").NewWithNoMessage()
 	// ErrFailed reports that a write or sync failed or that the journal is closed. The journal then accepts no more
-	// records.
+	// records, unless Repair succeeds.
 	ErrFailed = namespace.NewType("failed").NewWithNoMessage()
 	// ErrUnsynced reports that Rotate was called before all appended records were synced.
 	ErrUnsynced = namespace.NewType("unsynced").NewWithNoMessage()
--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -143,6 +143,57 @@
 	})
 }
 
+// TestRepairedJournalLosesNothing fails the disk at each operation in turn, repairs the journal where that is possible,
+// and performs the remaining actions. After a restart it must hold all records, those of the failed sync included.
+func TestRepairedJournalLosesNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		script := rapid.SliceOfN(actions, 1, 8).Draw(t, "script")
+		kind := rapid.SampledFrom([]fault{fullDisk, failSync}).Draw(t, "fault")
+		failAt := 0
+		for repairAfterFault(t, script, kind, failAt) {
+			failAt++
+		}
+	})
+}
+
+// repairAfterFault performs the actions with a fault at operation failAt and repairs the journal after it. It reports
+// whether that operation was reached.
+func repairAfterFault(t *rapid.T, script []action, kind fault, failAt int) bool {
+	fsys := newFaultFS(uint64(failAt))
+	fsys.kind = kind
+	fsys.failAt = failAt
+	var m model
+	j, _, err := journal.Open(fsys)
+	if err != nil {
+		return fsys.ops > failAt
+	}
+	for number, a := range script {
+		if m.perform(j, a, number) == nil {
+			continue
+		}
+		if !j.Repairable() {
+			if err := j.Repair(); !errors.Is(err, journal.ErrFailed) {
+				t.Fatalf("repairing a journal that failed in a rotation: %v, want ErrFailed", err)
+			}
+			return fsys.ops > failAt
+		}
+		fsys.clearFault()
+		if err := errors.Join(j.Repair(), j.Sync()); err != nil {
+			t.Fatalf("repairing after %s at operation %d: %v", kind, failAt, err)
+		}
+		m.records = m.attempted
+	}
+	faultReached := fsys.ops > failAt
+	fsys.restart()
+	_, recovered, err := journal.Open(fsys)
+	if err != nil {
+		t.Fatalf("opening after %s at operation %d: %v", kind, failAt, err)
+	}
+	m.attempted = m.records
+	m.check(t, recovered)
+	return faultReached
+}
+
 // newFilledFS returns a folder whose log contains three synced frames of two records each.
 func newFilledFS(t testing.TB) *faultFS {
 	fsys := newFaultFS(1)
--- a/replica/property_test.go
+++ b/replica/property_test.go
@@ -153,6 +153,28 @@
 	})
 }
 
+// TestFullDisksAreSafeAndHeal fills disks at random among other faults, up to all of them at once, and also while the
+// leader changes. An instance with a full disk keeps its unsaved work and handles nothing until there is room.
+func TestFullDisksAreSafeAndHeal(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sim := newRandomSimulation(t, 3, 3, 5)
+		for range faultsPerRun {
+			n := sim.nodes[sim.random.IntN(len(sim.nodes))]
+			if n.diskFull = sim.random.IntN(2) == 0; !n.diskFull {
+				n.freeDisk()
+			}
+			sim.injectFault(func(*node) bool { return false })
+		}
+		sim.heal()
+		for _, n := range sim.nodes {
+			n.freeDisk()
+		}
+		if !sim.runUntil(maxSettleTimeouts*electionTimeout, func() bool { return sim.allVotersWithout(nil) }) {
+			t.Fatalf("not all nodes are voters again within %d election timeouts\n%s", maxSettleTimeouts, sim.describeMembership())
+		}
+	})
+}
+
 // TestClusterRecoversAfterHealing checks that after random faults a leader is elected, a new command reaches all nodes,
 // and all nodes are voters again.
 func TestClusterRecoversAfterHealing(t *testing.T) {
