Refuse a waiting call early enough for its refusal to arrive

Cause: a call that waits at a target was refused 10 ms before its deadline. On a slow path or a busy machine the refusal came after the sender's deadline, and the caller was told that the outcome is unknown of a request that had not run. Change: targets report how long they handled a call; the sender estimates from the rest how long a refusal takes to get back (mean and deviation, as TCP does for its timer) and sends that with each call. The target ends the wait that much earlier, and doesn't start a run that could not end before then. The deadline of a run itself stays.

--- a/internal/daemon/admitter.go
+++ b/internal/daemon/admitter.go
@@ -9,9 +9,9 @@
 	"sapphirespread.example/refusal"
 )
 
-// refusalMargin is the time before its deadline at which a queued call is refused, so that its sender learns in time
-// that the call has not run. It is several times the latency between two failure domains.
-const refusalMargin = 10 * time.Millisecond
+// minRefusalMargin is the least time before its deadline at which a queued call is refused, so that its sender learns in
+// time that the call has not run.
+const minRefusalMargin = 10 * time.Millisecond
 
 // An admitter queues calls to the backend server until its admission control admits or refuses them.
 type admitter struct {
@@ -32,7 +32,7 @@
 func (a *admitter) admit(ctx context.Context, c *call) *attemptError {
 	verdict := make(chan priority.Verdict, 1)
 	a.offer(c, verdict)
-	deadlineTimer := time.NewTimer(c.remaining(time.Now()) - refusalMargin)
+	deadlineTimer := time.NewTimer(c.remaining(time.Now()) - c.refusalMargin())
 	defer deadlineTimer.Stop()
 	select {
 	case v := <-verdict:
@@ -43,12 +43,17 @@
 	if a.cancel(c.admissionID, verdict) {
 		a.finish(c.admissionID, priority.Result{Failed: true})
 	}
-	if c.remaining(time.Now()) > refusalMargin {
+	if c.remaining(time.Now()) > c.refusalMargin() {
 		return refuse(refusal.Cancelled, "the caller left before the request ran")
 	}
 	return refuse(refusal.DeadlineUnreachable, "the deadline passed in the queue")
 }
 
+// refusalMargin returns the time before its deadline at which c is refused if it still waits.
+func (c *call) refusalMargin() time.Duration {
+	return max(c.returnMargin, minRefusalMargin)
+}
+
 // refusalOf returns the refusal for a verdict, or nil if the call is admitted.
 func refusalOf(verdict priority.Verdict) *attemptError {
 	if verdict.Admitted {
@@ -70,7 +75,7 @@
 		Workspace: c.rootWorkspace,
 		Route:     c.route,
 		Share:     c.share,
-		Deadline:  c.deadline,
+		Deadline:  c.deadline.Add(-c.returnMargin),
 		Shed:      c.shedShare,
 		Nested:    c.nested,
 		Objective: c.objective,
--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -28,6 +28,7 @@
 	service          string
 	priority         int // rank from the priorities of the workspace and the route
 	deadline         time.Time
+	returnMargin     time.Duration // time before the deadline at which a refusal must be sent to arrive in time
 	objective        time.Duration
 	repeatable       bool
 	needsClaim       bool // may run only with a claim on its idempotency key
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -72,6 +72,7 @@
 	counters         *counters
 	inFlight         *inFlight
 	latencies        *latencies
+	returnTimes      *returnTimes
 	callIDs          atomic.Uint64
 	stopping         atomic.Bool
 	targetDraining   atomic.Bool // announces the target as draining; calls already on their way are still served
@@ -94,6 +95,7 @@
 		counters:      newCounters(),
 		inFlight:      newInFlight(),
 		latencies:     newLatencies(),
+		returnTimes:   newReturnTimes(),
 	}
 	for _, option := range options {
 		option(d)
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -221,6 +221,9 @@
 	}
 	now := time.Now()
 	a.daemon.liveness.ended(now, a.target.Name)
+	if handling := a.report.handlingTime; handling > 0 {
+		a.daemon.returnTimes.observe(now, a.target.Peer, now.Sub(a.sentAt)-handling)
+	}
 	a.daemon.downstream.recordLevel(a.call.callee(), a.report.downstream)
 	if a.kind == target.OK {
 		a.daemon.budget(a.call.service).Success(now)
--- a/internal/daemon/relay_test.go
+++ b/internal/daemon/relay_test.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"sync"
 	"testing"
+	"time"
 )
 
 // breakage is the point at which a relay breaks its connections. Only a chunk of at least minMessageBytes, which is
@@ -29,6 +30,7 @@
 	target   netip.AddrPort
 	mu       sync.Mutex
 	next     breakage
+	delay    time.Duration // of each chunk, in each direction
 	conns    []net.Conn
 }
 
@@ -67,6 +69,7 @@
 	buffer := make([]byte, 64<<10)
 	for {
 		n, err := from.Read(buffer)
+		time.Sleep(r.currentDelay())
 		fault := r.faultFor(n)
 		switch {
 		case fault == freeze:
@@ -99,6 +102,19 @@
 	return r.next
 }
 
+func (r *relay) currentDelay() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.delay
+}
+
+// setDelay delays all later chunks.
+func (r *relay) setDelay(delay time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = delay
+}
+
 // arm sets the point at which the next message breaks the connections.
 func (r *relay) arm(next breakage) {
 	r.mu.Lock()
--- a/internal/daemon/remote.go
+++ b/internal/daemon/remote.go
@@ -28,24 +28,25 @@
 		}
 		return nil, refuse(refusal.TargetUnreachable, err.Error())
 	}
-	remote := &remoteCall{streams: d.streams, address: to.Peer, stream: stream, call: c, done: done}
+	remote := &remoteCall{streams: d.streams, returnTimes: d.returnTimes, address: to.Peer, stream: stream, call: c, done: done}
 	remote.stop = context.AfterFunc(ctx, stream.Abort)
 	return remote.start(ctx, to)
 }
 
 // remoteCall is a call in progress at another daemon. It is the body of the call's answer.
 type remoteCall struct {
-	streams  *streamPool
-	address  netip.AddrPort
-	stream   *peer.Stream
-	call     *call
-	done     func(callReport)
-	stop     func() bool
-	ended    bool
-	unread   []byte
-	received uint64
-	trailer  http.Header
-	bodySent atomic.Bool
+	streams     *streamPool
+	returnTimes *returnTimes
+	address     netip.AddrPort
+	stream      *peer.Stream
+	call        *call
+	done        func(callReport)
+	stop        func() bool
+	ended       bool
+	unread      []byte
+	received    uint64
+	trailer     http.Header
+	bodySent    atomic.Bool
 }
 
 func (r *remoteCall) start(ctx context.Context, to target.Target) (*answer, *attemptError) {
@@ -72,6 +73,7 @@
 
 func (r *remoteCall) callHeader(to target.Target) *peerpb.CallHeader {
 	c := r.call
+	remaining := c.remaining(time.Now())
 	return &peerpb.CallHeader{
 		CallId:            c.id,
 		WholeId:           c.rootID,
@@ -85,7 +87,8 @@
 		Share:             c.share,
 		Shed:              c.shedShare,
 		Priority:          int32(c.priority),
-		RemainingUs:       c.remaining(time.Now()).Microseconds(),
+		RemainingUs:       remaining.Microseconds(),
+		ReturnUs:          r.returnTimes.margin(to.Peer, remaining).Microseconds(),
 		Allowance:         int32(c.allowance.Left()),
 		Method:            c.head.method,
 		Host:              c.head.host,
--- a/internal/daemon/report.go
+++ b/internal/daemon/report.go
@@ -14,6 +14,7 @@
 	downstream      priority.Level // of the services that a run of the call's route calls
 	draining        bool
 	crashedTarget   string
+	handlingTime    time.Duration // from the receipt of the call until the report, zero if unknown
 }
 
 func encodeReport(report callReport, now time.Time) *peerpb.CallReport {
@@ -23,6 +24,7 @@
 		CrashedTarget:   report.crashedTarget,
 		Level:           encodeLevel(report.level, now),
 		Deeper:          encodeLevel(report.downstream, now),
+		HandlingUs:      report.handlingTime.Microseconds(),
 	}
 }
 
@@ -33,5 +35,6 @@
 		crashedTarget:   encoded.GetCrashedTarget(),
 		level:           decodeLevel(encoded.GetLevel(), now),
 		downstream:      decodeLevel(encoded.GetDeeper(), now),
+		handlingTime:    time.Duration(encoded.GetHandlingUs()) * time.Microsecond,
 	}
 }
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -34,6 +34,7 @@
 		service:        header.GetService(),
 		priority:       int(header.GetPriority()),
 		deadline:       now.Add(time.Duration(header.GetRemainingUs()) * time.Microsecond),
+		returnMargin:   time.Duration(header.GetReturnUs()) * time.Microsecond,
 		objective:      time.Duration(header.GetObjectiveUs()) * time.Microsecond,
 		repeatable:     header.GetRepeatable(),
 		needsClaim:     !header.GetRepeatable() && header.GetIdempotencyKey() != "",
@@ -62,6 +63,7 @@
 	daemon            *Daemon
 	stream            *peer.Stream
 	call              *call
+	receivedAt        time.Time
 	report            callReport
 	target            string
 	targetIncarnation uint64
@@ -74,10 +76,12 @@
 
 // newServedCall returns the call described by header, with a body queue unless the call has no body.
 func newServedCall(d *Daemon, stream *peer.Stream, header *peerpb.CallHeader) *servedCall {
+	now := time.Now()
 	s := &servedCall{
 		daemon:            d,
 		stream:            stream,
-		call:              decodeCall(header, time.Now()),
+		call:              decodeCall(header, now),
+		receivedAt:        now,
 		target:            header.GetTarget(),
 		targetIncarnation: header.GetTargetIncarnation(),
 		done:              make(chan struct{}),
@@ -125,11 +129,18 @@
 		Detail:       refused.detail,
 		RetryAfterUs: refused.retryAfter.Microseconds(),
 		NotRun:       refused.notRun,
-		Report:       encodeReport(s.report, time.Now()),
+		Report:       s.encodeReport(),
 	}
 	_ = s.stream.Send(&peerpb.Frame{CallId: s.call.id, Body: &peerpb.Frame_Refusal{Refusal: encoded}})
 }
 
+// encodeReport encodes the report at the end of the call, with the time that the call has taken here.
+func (s *servedCall) encodeReport() *peerpb.CallReport {
+	now := time.Now()
+	s.report.handlingTime = now.Sub(s.receivedAt)
+	return encodeReport(s.report, now)
+}
+
 // sendAnswer streams the answer and sends an End frame only if the answer is complete, otherwise an Abort frame.
 func (s *servedCall) sendAnswer(a *answer) {
 	defer func() { _ = a.body.Close() }()
@@ -146,14 +157,14 @@
 	sent, err := s.sendBody(a.body, short)
 	if err != nil {
 		_ = a.body.Close()
-		abort := &peerpb.Abort{Kind: string(refusal.AnswerCut), Report: encodeReport(s.report, time.Now())}
+		abort := &peerpb.Abort{Kind: string(refusal.AnswerCut), Report: s.encodeReport()}
 		_ = s.stream.Send(&peerpb.Frame{CallId: s.call.id, Body: &peerpb.Frame_Abort{Abort: abort}})
 		return
 	}
 	end := &peerpb.End{
 		Length:   sent,
 		Trailers: message.EncodeHeader(a.body.Trailer()),
-		Report:   encodeReport(s.report, time.Now()),
+		Report:   s.encodeReport(),
 	}
 	_ = s.stream.Send(&peerpb.Frame{CallId: s.call.id, Body: &peerpb.Frame_End{End: end}})
 }
