Leave odd targets out alone, and close connections whose body is still being sent

Causes: (1) one target that could not be decoded made a daemon refuse the whole list, attach again and get the same list, so it followed no target anymore. A name in another encoding could not be sent to control and detached the daemon on each heartbeat; slots beyond 32 bits wrapped; a start time in the future or the largest sequence displaced the real announcements for good. (2) An answer before the end of the request's body left a reader behind, and net/http panics when it reads the next request (invalid concurrent Body.Read call). (3) A request with both a length and chunks was answered and the bytes behind it taken for the next request.

--- a/internal/control/operators.go
+++ b/internal/control/operators.go
@@ -9,6 +9,7 @@
 	"net/http"
 
 	"sapphirespread.example/internal/host/boottime"
+	"sapphirespread.example/internal/host/framing"
 	"sapphirespread.example/internal/operator"
 )
 
@@ -32,7 +33,7 @@
 
 func (c *Control) newHTTPServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler:           handler,
+		Handler:           framing.Guard(handler),
 		ReadHeaderTimeout: c.settings.Timeouts.ReadHeader,
 		IdleTimeout:       c.settings.Timeouts.Idle,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/internal/daemon/announce.go
+++ b/internal/daemon/announce.go
@@ -2,8 +2,11 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
+	"strconv"
 	"time"
+	"unicode/utf8"
 
 	"github.com/joomcode/errorx"
 
@@ -14,6 +17,13 @@
 const (
 	announcePath     = "/announce/v1/target"
 	maxAnnounceBytes = 4 << 10
+	maxNameBytes     = 256
+	// maxAnnouncedCount is the largest number of requests or connections that fits a message between processes.
+	maxAnnouncedCount = math.MaxInt32
+	// maxClockDifference is far above the difference between the clocks of a backend server and its daemon.
+	maxClockDifference = time.Hour
+	// maxSequence is the largest integer that all JSON implementations represent exactly.
+	maxSequence = 1 << 53
 )
 
 // announceResponse contains the incarnation assigned to the backend server and the lifetime of its announcement.
@@ -59,10 +69,22 @@
 	switch {
 	case announcement.Name == "" || announcement.Service == "":
 		return "name and service are needed"
-	case !announcement.Address.IsValid():
-		return "address is needed"
-	case announcement.Slots < 1:
-		return "slots is at least 1"
+	case len(announcement.Name) > maxNameBytes || len(announcement.Service) > maxNameBytes:
+		return "name and service are at most " + strconv.Itoa(maxNameBytes) + " bytes long"
+	// A name in another encoding could not be sent to control.
+	case !utf8.ValidString(announcement.Name) || !utf8.ValidString(announcement.Service):
+		return "name and service are UTF-8"
+	case !announcement.Address.IsValid() || announcement.Address.Port() == 0:
+		return "address with a port is needed"
+	case announcement.Slots < 1 || announcement.Slots > target.MaxSlots:
+		return "slots is from 1 to " + strconv.Itoa(target.MaxSlots)
+	case announcement.InFlight < 0 || announcement.InFlight > maxAnnouncedCount || announcement.Connections < 0 || announcement.Connections > maxAnnouncedCount:
+		return "in-flight and connections are from 0 to " + strconv.Itoa(maxAnnouncedCount)
+	// Announcements of processes that started earlier are ignored, so a start in the future would displace the real one.
+	case announcement.StartedAt.After(time.Now().Add(maxClockDifference)):
+		return "the start time lies in the future"
+	case announcement.Sequence > maxSequence:
+		return "sequence is at most " + strconv.Itoa(maxSequence)
 	}
 	switch announcement.State {
 	case target.Warming, target.Ready, target.Draining:
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
@@ -61,6 +62,10 @@
 // newCallerCall returns the call for a caller's request, with its route, service, workspace and deadline. It may return
 // a call along with a refusal.
 func (d *Daemon) newCallerCall(r *http.Request, arrival dialect.Arrival) (*call, *attemptError) {
+	// An ID in another encoding could not be sent to another daemon.
+	if !utf8.ValidString(arrival.RequestID) {
+		return nil, refuse(refusal.MalformedRequest, "the request ID is not UTF-8")
+	}
 	now := boottime.Now()
 	snapshot, fresh := d.view.Current(now)
 	matched, refused := matchRoute(snapshot, r)
@@ -235,35 +240,49 @@
 	return nil
 }
 
-// serveRequest attaches the body, refuses a quarantined request, waits for admit and answers the request.
+// serveRequest answers a request. If the answer comes before the caller has sent its whole body, the connection closes
+// after it.
 func (d *Daemon) serveRequest(w http.ResponseWriter, r *http.Request, c *call, admit func(context.Context) *attemptError) {
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	controller := http.NewResponseController(w)
-	r.Body = &stallReader{ReadCloser: r.Body, controller: controller, stallTimeout: d.settings.Timeouts.BodyStall, deadline: c.deadline}
-	if refused := c.attachBody(r, controller); refused != nil {
+	body := &stallReader{ReadCloser: r.Body, controller: controller, stallTimeout: d.settings.Timeouts.BodyStall, deadline: c.deadline}
+	body.complete.Store(r.ContentLength == 0)
+	r.Body = body
+	answer, refused := d.answerRequest(ctx, r, c, controller, admit)
+	if !body.complete.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if refused != nil {
 		d.refuseCall(w, c, c.rootID, refused)
-		return
+	} else {
+		d.sendAnswer(w, c, answer)
+	}
+	// Not deferred: a panic closes the connection, which ends the reading as well.
+	body.end()
+}
+
+// answerRequest attaches the body, refuses a quarantined request, waits for admit and returns the answer to the request.
+func (d *Daemon) answerRequest(ctx context.Context, r *http.Request, c *call, controller *http.ResponseController, admit func(context.Context) *attemptError) (*answer, *attemptError) {
+	if refused := c.attachBody(r, controller); refused != nil {
+		return nil, refused
 	}
 	if d.isQuarantined(c) {
-		d.refuseCall(w, c, c.rootID, refuse(refusal.Quarantined, ""))
-		return
+		return nil, refuse(refusal.Quarantined, "")
 	}
 	if refused := admit(ctx); refused != nil {
-		d.refuseCall(w, c, c.rootID, refused)
-		return
+		return nil, refused
 	}
 	answer, refused := d.dispatch(ctx, c)
 	d.throttle.recordResult(c, answer, refused)
 	if refused != nil {
-		d.refuseCall(w, c, c.rootID, refused)
-		return
+		return nil, refused
 	}
 	if c.parent != nil && answer.status < http.StatusInternalServerError {
 		c.parent.recordCallee(c.callee())
 		d.runningCalls.recordCallee(c.rootIDHash, c.callee())
 	}
-	d.sendAnswer(w, c, answer)
+	return answer, nil
 }
 
 // attachBody reads or attaches the request's body and computes the hashes of the request.
--- a/internal/daemon/httpserver.go
+++ b/internal/daemon/httpserver.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"sapphirespread.example/internal/host/framing"
 	"sapphirespread.example/internal/settings"
 )
 
@@ -26,7 +27,7 @@
 	return &httpServer{
 		Server: &http.Server{
 			ConnState:         busy.setState,
-			Handler:           handler,
+			Handler:           framing.Guard(handler),
 			ReadHeaderTimeout: timeouts.ReadHeader,
 			IdleTimeout:       timeouts.Idle,
 			MaxHeaderBytes:    maxHeaderBytes,
--- a/internal/daemon/linkreceive.go
+++ b/internal/daemon/linkreceive.go
@@ -90,12 +90,18 @@
 	return nil
 }
 
+// applyMembership applies a membership delta, without the targets that can't be decoded. A daemon that refused the whole
+// delta would attach, get the same delta and refuse it again, and would follow no target anymore.
 func (s *linkSession) applyMembership(delta *peerpb.MembershipDelta) error {
 	changes := make([]target.Change, 0, len(delta.GetChanges()))
 	for _, change := range delta.GetChanges() {
 		decoded, err := message.DecodeTarget(change.GetTarget())
+		if err != nil && change.GetRemoved() {
+			decoded, err = target.Target{Name: change.GetTarget().GetTarget(), Service: change.GetTarget().GetService()}, nil
+		}
 		if err != nil {
-			return err
+			s.link.daemon.logger.Warn().Err(err).Msg("link: target left out")
+			continue
 		}
 		changes = append(changes, target.Change{Target: decoded, Removed: change.GetRemoved()})
 	}
--- a/internal/membership/target/state.go
+++ b/internal/membership/target/state.go
@@ -10,6 +10,10 @@
 	Draining State = "draining"
 )
 
+// MaxSlots is the largest number of slots that a target may announce. It is far above that of any backend server, and keeps
+// sums over all targets in range.
+const MaxSlots = 1 << 20
+
 // Valid reports whether s is one of the states.
 func (s State) Valid() bool {
 	return s == Warming || s == Ready || s == Draining
--- a/internal/message/target.go
+++ b/internal/message/target.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/netip"
 
+	"github.com/joomcode/errorx"
+
 	"sapphirespread.example/internal/membership/target"
 	"sapphirespread.example/internal/peer/peerpb"
 )
@@ -24,11 +26,22 @@
 	}
 }
 
-// DecodeTarget decodes a target. It returns an error if the peer address of its daemon is malformed.
+// DecodeTarget decodes a target. It returns an error if the target can't be called: its name, service or state is unknown,
+// its number of slots is out of range, or the peer address of its daemon is malformed.
 func DecodeTarget(encoded *peerpb.Announce) (target.Target, error) {
 	address, err := netip.ParseAddrPort(encoded.GetPeerAddress())
 	if err != nil {
-		return target.Target{}, fmt.Errorf("decoding target %s: %w", encoded.GetTarget(), err)
+		return target.Target{}, fmt.Errorf("decoding target %q: %w", encoded.GetTarget(), err)
+	}
+	switch {
+	case encoded.GetTarget() == "" || encoded.GetService() == "":
+		return target.Target{}, errorx.IllegalFormat.New("decoding target %q of service %q: a name is missing", encoded.GetTarget(), encoded.GetService())
+	case address.Port() == 0:
+		return target.Target{}, errorx.IllegalFormat.New("decoding target %q: port 0", encoded.GetTarget())
+	case encoded.GetSlots() < 0 || encoded.GetSlots() > target.MaxSlots:
+		return target.Target{}, errorx.IllegalFormat.New("decoding target %q: %d slots", encoded.GetTarget(), encoded.GetSlots())
+	case !target.State(encoded.GetState()).Valid():
+		return target.Target{}, errorx.IllegalFormat.New("decoding target %q: state %q", encoded.GetTarget(), encoded.GetState())
 	}
 	return target.Target{
 		Name:          encoded.GetTarget(),
