Bound what is read over on a connection to a backend server

Cause: a backend server that sends informational answers or answers to other requests without end kept the connection, the slot and a processor busy until the request's deadline. Change: at most 16 such answers and 1 MiB of their bodies are read over; then the connection closes and the attempt ends with an unknown outcome.

--- a/internal/backend/connection/options.go
+++ b/internal/backend/connection/options.go
@@ -13,6 +13,9 @@
 	idleTimeoutMargin = 500 * time.Millisecond
 	// maxResponseHeaderBytes limits the memory that a malformed response header can use.
 	maxResponseHeaderBytes = 256 << 10
+	// maxSkippedResponses and maxSkippedBytes limit the responses to other requests that are read over.
+	maxSkippedResponses = 16
+	maxSkippedBytes     = 1 << 20
 	// bufferBytes is enough for the header of a usual request or response.
 	bufferBytes = 4 << 10
 )
--- a/internal/backend/connection/persistentconn.go
+++ b/internal/backend/connection/persistentconn.go
@@ -19,6 +19,7 @@
 
 var (
 	errHeaderTooLarge = errors.New("the head of the answer is too long")
+	errNoOwnResponse  = errors.New("too many answers to other requests")
 	pastDeadline      = time.Unix(1, 0)
 )
 
@@ -105,9 +106,11 @@
 }
 
 // readResponse returns the first final response that e.BelongsToRequest accepts. It discards informational responses
-// and responses to other requests.
+// and responses to other requests, up to maxSkippedResponses with bodies of maxSkippedBytes in all: a backend server in
+// trouble may send them without end.
 func (c *persistentConn) readResponse(e Exchange) (*http.Response, error) {
-	for {
+	remaining := int64(maxSkippedBytes)
+	for range maxSkippedResponses {
 		c.headerLimit.remaining = maxResponseHeaderBytes
 		response, err := http.ReadResponse(c.reader, e.Request)
 		if err != nil {
@@ -117,10 +120,15 @@
 		if response.StatusCode >= http.StatusOK && (e.BelongsToRequest == nil || e.BelongsToRequest(response.StatusCode, response.Header)) {
 			return response, nil
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		skipped, err := io.CopyN(io.Discard, response.Body, remaining)
+		if err != nil && !errors.Is(err, io.EOF) {
 			return nil, fmt.Errorf("reading over an answer to another request: %w", err)
 		}
+		if remaining -= skipped; remaining <= 0 {
+			break
+		}
 	}
+	return nil, errNoOwnResponse
 }
 
 // keepOrClose returns the connection to the pool after a complete response, or closes it if it cannot carry another
--- a/internal/backend/connection/pool_test.go
+++ b/internal/backend/connection/pool_test.go
@@ -201,3 +201,51 @@
 		t.Errorf("the request ended with %v after %s", err, time.Since(began))
 	}
 }
+
+// TestBytesWithoutEndAreBounded lets a backend server send bytes that are no answer until its caller closes. The round
+// trip must fail long before its deadline, and the connection must be closed.
+func TestBytesWithoutEndAreBounded(t *testing.T) {
+	const deadline = 20 * time.Second
+	floods := map[string][2]string{
+		"head":                        {"HTTP/1.1 200 OK\r\nX: ", strings.Repeat("x", 4096)},
+		"header lines":                {"HTTP/1.1 200 OK\r\n", "X: x\r\n"},
+		"status line":                 {"", strings.Repeat("y", 4096)},
+		"informational answers":       {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+		"answers to other requests":   {"", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 1\r\n\r\nz"},
+		"body for another request":    {"HTTP/1.1 200 OK\r\nId: other\r\n\r\n", strings.Repeat("b", 4096)},
+		"chunked for another request": {"HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nbbbb\r\n"},
+	}
+	for name, flood := range floods {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			closed := make(chan struct{})
+			s := startServer(t, func(conn net.Conn, _ int, _ *http.Request) bool {
+				defer close(closed)
+				_, err := io.WriteString(conn, flood[0])
+				for err == nil {
+					_, err = io.WriteString(conn, flood[1])
+				}
+				return false
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), deadline)
+			defer cancel()
+			request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://backend/x", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, err = connection.NewPool().Do(ctx, s.address(), connection.Exchange{
+				Request:          request,
+				BeforeWrite:      func() {},
+				BelongsToRequest: func(_ int, header http.Header) bool { return header.Get(headerID) == "own" },
+			})
+			if err == nil || ctx.Err() != nil {
+				t.Errorf("the round trip ended with %v, at its deadline: %t", err, ctx.Err() != nil)
+			}
+			select {
+			case <-closed:
+			case <-time.After(deadline):
+				t.Error("the connection was not closed")
+			}
+		})
+	}
+}
