Keep no state of refused claims, moved targets and expired quarantines

Causes, found by reading: a refused claim of a new workspace left an empty entry for ever; the tombstone of a target that moved to another service was never purged; a request whose quarantine entry had expired was not held locally when it crashed another target. Result: a test of each, failing before.

--- a/claim/atmostonce_test.go
+++ b/claim/atmostonce_test.go
@@ -303,3 +303,21 @@
 		}
 	})
 }
+
+// TestRefusedClaimsLeaveNothing checks that claims which are refused for want of room keep no state of their workspaces.
+func TestRefusedClaimsLeaveNothing(t *testing.T) {
+	registry := claim.NewRegistry(claim.WithMaximumKeys(1, 1))
+	at := time.Unix(1_700_000_000, 0)
+	if state, _ := registry.Claim(at, claim.Key{Workspace: "first", Route: "r", IdempotencyKey: "k"}, "a", [32]byte{}); state != claim.Won {
+		t.Fatalf("first claim: %s", state)
+	}
+	for i := range 100 {
+		k := claim.Key{Workspace: fmt.Sprint("refused-", i), Route: "r", IdempotencyKey: "k"}
+		if state, _ := registry.Claim(at, k, "a", [32]byte{}); state != claim.Full {
+			t.Fatalf("claim %d: %s", i, state)
+		}
+	}
+	if got := registry.Workspaces(); got != 1 {
+		t.Errorf("%d workspaces are kept, want 1", got)
+	}
+}
--- a/claim/registry.go
+++ b/claim/registry.go
@@ -159,6 +159,11 @@
 	return stats
 }
 
+// Workspaces returns the number of workspaces that the registry holds claims of.
+func (r *Registry) Workspaces() int {
+	return len(r.workspaces)
+}
+
 func (r *Registry) advance(at time.Time) time.Time {
 	if at.After(r.logTime) {
 		r.logTime = at
@@ -171,13 +176,10 @@
 	if refused != "" {
 		return nil, refused
 	}
-	w := r.ensureWorkspace(k.Workspace)
-	if len(r.entries) >= r.maximumKeys || w.keys >= r.maximumWorkspaceKeys {
-		return nil, Full
-	}
-	if expiresAt == 0 && w.untimedKeys >= r.maximumUntimedKeys {
+	if len(r.entries) >= r.maximumKeys || !r.hasRoomFor(k.Workspace, expiresAt != 0) {
 		return nil, Full
 	}
+	w := r.ensureWorkspace(k.Workspace)
 	r.sequence++
 	k.Workspace = w.name
 	e := &entry{key: k, claimedAt: at.UnixNano(), expiresAt: expiresAt, sequence: r.sequence}
@@ -185,6 +187,15 @@
 	return e, ""
 }
 
+// hasRoomFor reports whether a workspace may have one more key. Only a key with a time expires.
+func (r *Registry) hasRoomFor(workspace string, timed bool) bool {
+	keys, untimedKeys := 0, 0
+	if w, known := r.workspaces[workspace]; known {
+		keys, untimedKeys = w.keys, w.untimedKeys
+	}
+	return keys < r.maximumWorkspaceKeys && (timed || untimedKeys < r.maximumUntimedKeys)
+}
+
 func (r *Registry) expiryTime(at time.Time, k Key) (int64, State) {
 	keyTime, timed := k.Time()
 	switch {
--- a/internal/membership/target/registry.go
+++ b/internal/membership/target/registry.go
@@ -85,10 +85,26 @@
 			r.advertise(now, rec)
 		}
 	}
+	r.purgeMoved(now)
 	r.endSettling(now)
 	return expired
 }
 
+// purgeMoved deletes the tombstones that targets left in their old services.
+func (r *Registry) purgeMoved(now time.Time) {
+	for service, records := range r.services {
+		for name, rec := range records {
+			if rec != r.byName[name] && now.Sub(rec.lastHeartbeat) > r.tombstoneAge {
+				delete(records, name)
+				r.fullBelow = max(r.fullBelow, rec.version)
+			}
+		}
+		if len(records) == 0 {
+			delete(r.services, service)
+		}
+	}
+}
+
 // Version returns the version that a daemon reaches by applying the next delta.
 func (r *Registry) Version() uint64 {
 	return r.version
--- a/internal/membership/target/registry_test.go
+++ b/internal/membership/target/registry_test.go
@@ -161,3 +161,19 @@
 		t.Error("a delta of the old leader was applied")
 	}
 }
+
+// TestTombstonesOfMovedTargetsArePurged moves a target to another service. A daemon that missed it for longer than
+// tombstones are kept must get the whole list of the old service.
+func TestTombstonesOfMovedTargetsArePurged(t *testing.T) {
+	registry := target.NewRegistry()
+	registry.Announce(start, announced("a", "old", 1, target.Ready))
+	before := registry.Version()
+	registry.Announce(start, announced("a", "new", 2, target.Ready))
+	later := start.AddDate(0, 0, 2)
+	registry.Announce(later, announced("a", "new", 2, target.Ready))
+	registry.Expire(later)
+	changes, _, whole := registry.Delta(before, []string{"old"})
+	if !whole || len(changes) != 0 {
+		t.Errorf("whole %t with %d changes, want a whole list without targets", whole, len(changes))
+	}
+}
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -94,12 +94,12 @@
 }
 
 // QuarantineLocally quarantines a fingerprint locally after it crashed a target, until the given time or until a delta
-// of the register contains the fingerprint. It does nothing if the list already has an entry for the fingerprint.
+// of the register contains the fingerprint. It does nothing while the list has an entry for the fingerprint.
 func (l *List) QuarantineLocally(now time.Time, fp Fingerprint, until time.Time) {
 	s := l.shard(fp)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, known := s.entries[fp]; known {
+	if entry, known := s.entries[fp]; known && now.Before(entry.until) {
 		return
 	}
 	for other, otherUntil := range s.localHolds {
--- a/quarantine/list_test.go
+++ b/quarantine/list_test.go
@@ -36,3 +36,17 @@
 		})
 	}
 }
+
+// TestExpiredEntryDoesNotPreventALocalHold checks that a fingerprint whose entry has expired is held when it crashes
+// another target.
+func TestExpiredEntryDoesNotPreventALocalHold(t *testing.T) {
+	start := time.Unix(1000, 0)
+	fp := quarantine.NewFingerprint([]byte("poison"))
+	list := quarantine.NewList()
+	list.Apply(1, true, []quarantine.Entry{{Fingerprint: fp, State: quarantine.Suspect, Until: start}}, nil)
+	now := start.Add(time.Second)
+	list.QuarantineLocally(now, fp, now.Add(10*time.Second))
+	if got := list.State(now, fp); got != quarantine.Quarantined {
+		t.Errorf("verdict %s, want %s", got, quarantine.Quarantined)
+	}
+}
