Keep the first token of a silence for workspaces within their limit

Change: the leader tells with each confirmation which workspaces use up their limit; only these begin a silence with a part of a token.

--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -14,6 +14,7 @@
 	expirePeriod           = 200 * time.Millisecond
 	pollPeriod             = 5 * time.Millisecond
 	quarantinePeriod       = 5 * time.Second
+	pressedPeriod          = 100 * time.Millisecond
 )
 
 // grantHoldOff is how long a new leader waits before it grants tokens, so that no grant of an earlier leader
@@ -25,6 +26,8 @@
 	term                 uint64
 	ownerMu              sync.Mutex
 	owner                *limit.Owner
+	pressed              []string
+	pressedAt            time.Time
 	targetMu             sync.Mutex
 	targets              *target.Registry
 	mu                   sync.Mutex
@@ -172,6 +175,17 @@
 	return more
 }
 
+// pressedWorkspaces returns the workspaces that use up their limit. They are determined once in a pressedPeriod for all
+// sessions.
+func (l *leadership) pressedWorkspaces(now time.Time) []string {
+	l.ownerMu.Lock()
+	defer l.ownerMu.Unlock()
+	if now.Sub(l.pressedAt) >= pressedPeriod {
+		l.pressed, l.pressedAt = l.owner.Pressed(now), now
+	}
+	return l.pressed
+}
+
 // expireTargets removes targets that have stopped announcing themselves, and returns them.
 func (l *leadership) expireTargets(now time.Time) []target.Target {
 	l.targetMu.Lock()
--- a/internal/control/sessionwrite.go
+++ b/internal/control/sessionwrite.go
@@ -191,6 +191,7 @@
 		MembershipVersion: s.sent.membership,
 		QuarantineVersion: s.sent.quarantine,
 		Stamp:             s.control.stamp(heartbeat.GetStamp()),
+		PressedWorkspaces: s.leadership.pressedWorkspaces(boottime.Now()),
 	}
 	if addresses := s.control.memberAddresses(); !slices.Equal(addresses, s.sent.controlAddresses) {
 		confirm.ControlAddresses, s.sent.controlAddresses = addresses, addresses
--- a/internal/daemon/decisions.go
+++ b/internal/daemon/decisions.go
@@ -48,6 +48,7 @@
 	CollectReturns(now time.Time) []limit.Return
 	ReturnAll() []limit.Return
 	RecordHeartbeat(now time.Time)
+	SetPressed(workspaces []string)
 	Disconnect(now time.Time)
 }
 
--- a/internal/daemon/linkreceive.go
+++ b/internal/daemon/linkreceive.go
@@ -66,6 +66,7 @@
 	d := s.link.daemon
 	s.link.setAdvertised(confirmation.GetControlAddresses())
 	d.clock.Observe(time.Now(), message.DecodeStamp(confirmation.GetStamp()))
+	d.holder.SetPressed(confirmation.GetPressedWorkspaces())
 	d.view.Confirm(heartbeat.sentAt, confirmation.GetRevision())
 	s.link.called.markKnown(heartbeat.services)
 }
--- a/limit/fallbackbucket.go
+++ b/limit/fallbackbucket.go
@@ -13,7 +13,7 @@
 	// fallbackBurstSeconds limits how many unspent tokens accumulate, in seconds of the rate. A workspace with a few
 	// requests a second sends them unevenly. The total spent stays within the rate times the silence and fallbackHeadStart.
 	fallbackBurstSeconds = 1.0
-	// fallbackHeadStart is the spending, in seconds of the rate, that a silence may begin with. It allows for requests that
+	// fallbackHeadStart is the spending, in seconds of the rate, that a silence of a pressed workspace may begin with. It allows for requests that
 	// were waiting for a grant when the owner fell silent.
 	fallbackHeadStart = 0.25
 	// fallbackRateTimeConstant is long enough to measure the rate of workspaces with few requests.
@@ -44,12 +44,17 @@
 	return b.rate / b.weight
 }
 
-// spend takes tokens that have accumulated since the owner became silent, all or none.
-func (b *fallbackBucket) spend(now time.Time, tokens int64, silence time.Duration) bool {
+// spend takes tokens that have accumulated since the owner became silent, all or none. The first token of each silence is
+// available at once, unless the workspace used up its limit before: it may be requested at many holders, each of which
+// would spend one beyond the limit.
+func (b *fallbackBucket) spend(now time.Time, tokens int64, silence time.Duration, pressed bool) bool {
 	since := now.Add(-silence)
 	if b.refilledAt.Before(since) {
 		b.refilledAt = since
-		b.tokens = min(1, initialTokens(since)+fallbackHeadStart*b.unbiasedRate())
+		b.tokens = 1
+		if pressed {
+			b.tokens = min(1, initialTokens(since)+fallbackHeadStart*b.unbiasedRate())
+		}
 	}
 	elapsed := now.Sub(b.refilledAt).Seconds()
 	b.refilledAt = now
@@ -62,7 +67,7 @@
 	return true
 }
 
-// initialTokens returns the part of a token with which a silence begins. It is spread evenly from 0 to 1 over the holders
+// initialTokens returns the part of a token with which a silence of a pressed workspace begins. It is spread evenly from 0 to 1 over the holders
 // and silences, so that many holders with less than one request a second each spend no more than their rates together.
 func initialTokens(since time.Time) float64 {
 	var encoded [8]byte
@@ -72,13 +77,13 @@
 
 // spendFallback spends tokens of the fallback bucket if the owner has been silent for at least fallbackDelay and for
 // less than maximum.
-func (a *account) spendFallback(now time.Time, tokens int64, silence, maximum time.Duration) bool {
+func (a *account) spendFallback(now time.Time, tokens int64, silence, maximum time.Duration, pressed bool) bool {
 	if silence < fallbackDelay || silence >= maximum {
 		return false
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.fallback.spend(now, tokens, silence) {
+	if !a.fallback.spend(now, tokens, silence, pressed) {
 		return false
 	}
 	a.spent += tokens
--- a/limit/fallbackbucket_test.go
+++ b/limit/fallbackbucket_test.go
@@ -79,6 +79,8 @@
 const (
 	lostOwnerStep = 5 * time.Millisecond
 	lostOwnerWait = 125 * time.Millisecond
+	// heartbeatSteps is the number of steps between two heartbeats, which tell the pressed workspaces.
+	heartbeatSteps = 100
 )
 
 func (l *lostOwner) run(random *rand.Rand) {
@@ -100,6 +102,7 @@
 	lostAt := start.Add(l.lostAfter)
 	waiters := make(map[time.Time][]waiter)
 	l.spent = make([][]time.Duration, l.workspaces)
+	step := 0
 	for now := start; now.Before(lostAt.Add(l.silent)); now = now.Add(lostOwnerStep) {
 		connected := now.Before(lostAt)
 		spend := func(h *limit.Holder, w int) bool {
@@ -118,6 +121,12 @@
 				fleet[i].Accept(now, answer.Grant)
 			}
 		}
+		if step%heartbeatSteps == 0 && connected {
+			for _, h := range fleet {
+				h.SetPressed(o.Pressed(now))
+			}
+		}
+		step++
 		for i, h := range fleet {
 			if l.announced && now.Equal(lostAt) {
 				h.Disconnect(now.Add(time.Duration(random.IntN(int(lostOwnerStep)))))
@@ -240,6 +249,37 @@
 	}
 }
 
+// TestLargeFleetServesSparseWorkspacesWhenItsOwnerIsLost guards against refusing workspaces that are well within their
+// limit. Ninety of them enter at 94 holders, each of which sees a request of one of them every 25 seconds, so that no
+// holder knows their rates. At least 80% of their requests during the silence must be served.
+func TestLargeFleetServesSparseWorkspacesWhenItsOwnerIsLost(t *testing.T) {
+	const (
+		holders, workspaces = 94, 90
+		demand              = 4.0 // requests per second of each workspace
+		silent              = 2 * time.Second
+		minimumServed       = 0.8
+		quota               = 1.1*(2*demand*5+2*demand) + 20
+	)
+	l := lostOwner{
+		holders: holders, workspaces: workspaces, bucket: limit.Bucket{Rate: 2 * demand, Burst: 2 * demand},
+		demand:    func(time.Duration) float64 { return demand / holders },
+		lostAfter: 2 * time.Second, silent: silent, maximumFallback: silent, announced: true,
+	}
+	l.run(rand.New(rand.NewPCG(1, 1)))
+	served := 0
+	for w := range workspaces {
+		served += l.spentInSilence(w)
+		if most := l.mostInWindow(w, 5*time.Second); float64(most) > quota {
+			t.Errorf("workspace %d: %d tokens spent within 5 s, want at most %.0f", w, most, quota)
+		}
+	}
+	// The requests of the last wait are still waiting at the end.
+	ended := float64(l.requests) * (silent - lostOwnerWait).Seconds() / silent.Seconds()
+	if share := float64(served) / ended; share < minimumServed {
+		t.Errorf("%.2f of %.0f requests were served while the owner was silent, want at least %.2f", share, ended, minimumServed)
+	}
+}
+
 // TestLivingOwnerIsNotCoastedAround guards against fallback spending while the owner is alive. The holder pauses
 // between its grant requests and demands more than the rate, so that the owner queues requests. Neither counts as
 // silence.
--- a/limit/holder.go
+++ b/limit/holder.go
@@ -21,6 +21,7 @@
 	lastHeartbeat   atomic.Pointer[time.Time] // last heartbeat or answer of the owner
 	pendingSince    atomic.Pointer[time.Time] // when the first grant request after lastHeartbeat was sent
 	disconnectedAt  atomic.Pointer[time.Time] // when the connection to the owner was lost
+	pressed         atomic.Pointer[map[string]bool]
 	shards          [holderShards]shard
 }
 
@@ -45,7 +46,21 @@
 	if a == nil {
 		return tokens <= 0
 	}
-	return a.spend(now, tokens) || h.maximumFallback > 0 && a.spendFallback(now, tokens, h.ownerSilence(now), h.maximumFallback)
+	return a.spend(now, tokens) || h.maximumFallback > 0 && a.spendFallback(now, tokens, h.ownerSilence(now), h.maximumFallback, h.isPressed(workspace))
+}
+
+// SetPressed sets the workspaces that use up their limit according to the owner. Fallback spending is stricter for them.
+func (h *Holder) SetPressed(workspaces []string) {
+	pressed := make(map[string]bool, len(workspaces))
+	for _, workspace := range workspaces {
+		pressed[workspace] = true
+	}
+	h.pressed.Store(&pressed)
+}
+
+func (h *Holder) isPressed(workspace string) bool {
+	pressed := h.pressed.Load()
+	return pressed != nil && (*pressed)[workspace]
 }
 
 // ownerSilence returns how long the owner has failed to respond: the time since the first unanswered grant request or
--- a/limit/owner.go
+++ b/limit/owner.go
@@ -151,6 +151,23 @@
 	o.queuedBuckets = kept
 }
 
+// Pressed returns the workspaces that use up their limit, sorted: those with less than half of their burst left, and those
+// with queued grant requests.
+func (o *Owner) Pressed(now time.Time) []string {
+	var pressed []string
+	for workspace, tb := range o.buckets {
+		if tb.removed {
+			continue
+		}
+		tb.advance(now)
+		if len(tb.queue) > 0 || 2*tb.wholeTokens() < tb.bucket.Burst {
+			pressed = append(pressed, workspace)
+		}
+	}
+	sort.Strings(pressed)
+	return pressed
+}
+
 // Stats returns the state of each bucket, sorted by workspace.
 func (o *Owner) Stats(now time.Time) []BucketStats {
 	stats := make([]BucketStats, 0, len(o.buckets))
