Serve requests that callers send ahead side by side

Cause: the server of net/http reads the next request of a connection after the answer to the one before. Change: a connection loop of our own on the library's parser serves all callers. The loops that accept connections outlast a lack of descriptors, which ended the process before; a panic in the handling of a stream or a call ends just that. The tests of daemon, platform, control, cmd and examples pass with -race; drawn sequences of requests are judged by the library's reader.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -183,7 +183,7 @@
 	d.peers.Handle(kindCall, d.serveCalls)
 }
 
-func (d *Daemon) servers() ([]*httpServer, error) {
+func (d *Daemon) servers() ([]server, error) {
 	operators, err := d.operatorsHandler()
 	if err != nil {
 		return nil, fmt.Errorf("serving operators: %w", err)
@@ -192,8 +192,8 @@
 	subcalls.HandleFunc("PUT "+announcePath, d.serveAnnounce)
 	subcalls.HandleFunc("DELETE "+announcePath+"/{name}", d.serveLeave)
 	subcalls.HandleFunc("/", d.serveNestedCall)
-	servers := []*httpServer{
-		newHTTPServer(d.listeners.Callers, http.HandlerFunc(d.serveCaller), d.settings.Timeouts),
+	servers := []server{
+		newCallerServer(d, d.listeners.Callers, http.HandlerFunc(d.serveCaller)),
 		newHTTPServer(d.listeners.Operators, operators, d.settings.Timeouts),
 	}
 	if d.listeners.Subcalls != nil {
@@ -212,7 +212,7 @@
 // stop shuts the daemon down gracefully. It serves on during the callers' notice period, announces the target as
 // draining near its end, refuses first other daemons and then callers, waits for requests in flight up to the drain
 // timeout, returns unspent tokens and closes all sockets.
-func (d *Daemon) stop(servers []*httpServer, stopLink func(), linkClosed <-chan struct{}) {
+func (d *Daemon) stop(servers []server, stopLink func(), linkClosed <-chan struct{}) {
 	d.record("daemon", "stopping")
 	d.logger.Info().Msg("daemon: stopping")
 	d.stopping.Store(true)
--- a/internal/daemon/endlessbytes_test.go
+++ b/internal/daemon/endlessbytes_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -32,7 +33,7 @@
 			set := baseSet()
 			set.Routes[0].Deadline = deadline
 			f.publish(set)
-			closed := make(chan struct{}, 100)
+			var begun, closed atomic.Int32
 			served := f.rawBackend("courts-1", "courts", func(conn net.Conn) {
 				defer func() { _ = conn.Close() }()
 				reader := bufio.NewReader(conn)
@@ -45,12 +46,13 @@
 						_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 						continue
 					}
+					begun.Add(1)
 					_, err = io.WriteString(conn, flood.start)
 					for err == nil {
 						time.Sleep(flood.pause)
 						_, err = io.WriteString(conn, flood.repeated)
 					}
-					closed <- struct{}{}
+					closed.Add(1)
 					return
 				}
 			})
@@ -62,11 +64,10 @@
 				if got := ask(served.daemon, http.MethodGet, "/courts/1?flood", "club", ""); got.status == http.StatusOK && got.err == nil {
 					t.Errorf("an endless answer of %d bytes looks complete", len(got.body))
 				}
-				select {
-				case <-closed:
-				case <-time.After(testBound):
-					t.Fatal("the connection to the backend server was not closed")
-				}
+				f.eventually("the connections to the backend server are closed", func() bool { return closed.Load() == begun.Load() })
+			}
+			if begun.Load() == 0 {
+				t.Error("no endless answer was begun")
 			}
 			f.eventually("another answer", func() bool {
 				return ask(served.daemon, http.MethodGet, "/courts/1", "club", "").status == http.StatusOK
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -15,6 +15,7 @@
 
 	"sapphirespread.example/claim"
 	"sapphirespread.example/configuration"
+	"sapphirespread.example/internal/caller/pipeline"
 	"sapphirespread.example/internal/daemon/dialect"
 	"sapphirespread.example/internal/host/boottime"
 	"sapphirespread.example/priority"
@@ -86,7 +87,7 @@
 	c.rootIDHash = xxhash.Sum64String(cmp.Or(arrival.RootRequestID, c.rootID))
 	c.service = matched.ServiceFor(xxhash.Sum64String(c.rootID))
 	if arrival.Remaining > 0 {
-		c.deadline = earlier(c.deadline, time.Now().Add(arrival.Remaining))
+		c.deadline = earlier(c.deadline, c.history.arrivedAt.Add(arrival.Remaining))
 	}
 	c.share = 1
 	c.callerService = d.settings.Service
@@ -193,13 +194,14 @@
 }
 
 func (d *Daemon) newCall(r *http.Request, matched configuration.Route) *call {
+	arrivedAt := pipeline.ArrivedAt(r.Context())
 	return &call{
-		history:    requestHistory{arrivedAt: time.Now()},
+		history:    requestHistory{arrivedAt: arrivedAt},
 		needsClaim: !matched.Repeatable && !matched.Unclaimed,
 		route:      matched.Name,
 		service:    matched.Service,
 		repeatable: matched.Repeatable,
-		deadline:   time.Now().Add(matched.Deadline),
+		deadline:   arrivedAt.Add(matched.Deadline),
 		objective:  matched.Objective,
 		allowance:  retry.NewAllowance(matched.ExtraAttempts),
 		head: requestHead{
--- a/internal/daemon/httpserver.go
+++ b/internal/daemon/httpserver.go
@@ -14,6 +14,12 @@
 // pendingRequestTimeout is the maximum wait for requests on accepted connections before the server shuts down.
 const pendingRequestTimeout = time.Second
 
+// A server serves on one listener until it is stopped.
+type server interface {
+	serve() error
+	stop(ctx context.Context)
+}
+
 // An httpServer serves HTTP on one listener.
 type httpServer struct {
 	*http.Server
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -109,6 +110,7 @@
 	s.daemon.inFlight.add()
 	defer s.daemon.inFlight.done()
 	defer close(s.done)
+	defer s.recoverPanic()
 	defer s.cancel()
 	if s.body != nil {
 		defer s.body.close(io.ErrClosedPipe)
@@ -123,6 +125,14 @@
 	s.sendAnswer(answer)
 }
 
+// recoverPanic ends a call whose handling panicked without an answer, so that one call can't end the process.
+func (s *servedCall) recoverPanic() {
+	if cause := recover(); cause != nil {
+		s.daemon.logger.Error().Any("panic", cause).Bytes("stack", debug.Stack()).Str("id", s.call.rootID).Msg("daemon: handling a call failed")
+		s.stream.Abort()
+	}
+}
+
 func (s *servedCall) sendRefusal(refused *attemptError) {
 	encoded := &peerpb.Refusal{
 		Kind:         string(refused.kind),
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -200,3 +200,42 @@
 	}
 	t.Fatalf("%d goroutines before, %d after", before, runtime.NumGoroutine())
 }
+
+// TestPanicEndsOnlyItsStream checks that a panic of a handler leaves the process, the session and other streams in use.
+func TestPanicEndsOnlyItsStream(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := peer.NewServer(peer.Identity{Cluster: "one", Process: "server", Incarnation: 1})
+	server.Handle("panic", func(context.Context, peer.Identity, *peer.Stream) {
+		var missing map[string]int
+		missing["x"] = 1
+	})
+	server.Handle("echo", func(_ context.Context, _ peer.Identity, stream *peer.Stream) {
+		var frame peerpb.Frame
+		if stream.Receive(&frame) == nil {
+			_ = stream.Send(&frame)
+		}
+	})
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	pool, address := newPool(t, "one"), netip.MustParseAddrPort(listener.Addr().String())
+	for range 3 {
+		failing, err := pool.Open(t.Context(), address, "panic")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var frame peerpb.Frame
+		if err := failing.Receive(&frame); !errors.Is(err, io.EOF) {
+			t.Errorf("the stream of the panic: %v, want its end", err)
+		}
+		echo, err := pool.Open(t.Context(), address, "echo")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := errors.Join(echo.Send(&peerpb.Frame{CallId: 5}), echo.Receive(&frame)); err != nil || frame.GetCallId() != 5 {
+			t.Errorf("another stream: %v", err)
+		}
+	}
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -3,14 +3,15 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/yamux"
 	"github.com/rs/zerolog"
 
+	"sapphirespread.example/internal/host/accept"
 	"sapphirespread.example/internal/peer/peerpb"
 )
 
@@ -74,25 +75,13 @@
 	if closed {
 		return listener.Close()
 	}
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			return s.acceptError(err)
+	return accept.Loop(listener, func(conn net.Conn) {
+		if s.track(conn) {
+			go s.serveConn(conn)
 		}
-		if !s.track(conn) {
-			return nil
-		}
-		go s.serveConn(conn)
-	}
-}
-
-func (s *Server) acceptError(err error) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.closed || errors.Is(err, net.ErrClosed) {
-		return nil
-	}
-	return err
+	}, func(err error) {
+		s.logger.Warn().Err(err).Msg("peer: accepting a connection failed")
+	})
 }
 
 func (s *Server) track(conn net.Conn) bool {
@@ -190,8 +179,16 @@
 	}
 }
 
+// recoverPanic ends a stream whose handler panicked, so that one message can't end the process.
+func (s *Server) recoverPanic(from Identity) {
+	if cause := recover(); cause != nil {
+		s.logger.Error().Any("panic", cause).Bytes("stack", debug.Stack()).Str("process", from.Process).Msg("peer: the handler of a stream failed")
+	}
+}
+
 func (s *Server) serveStream(ctx context.Context, from Identity, stream *Stream) {
 	defer func() { _ = stream.Close() }()
+	defer s.recoverPanic(from)
 	_ = stream.SetReadDeadline(time.Now().Add(handshakeTimeout))
 	var header peerpb.StreamHeader
 	if err := stream.Receive(&header); err != nil {
