Interrupt the streams of a session when it ends

Cause: yamux announces the end of a session, closes the connection and waits for its reader before it closes the streams. In between each goroutine that reads from a stream, or waits to write, repeats without a pause. Where only blocking goroutines give way, the reader never runs. Change: a connection interrupts the open streams of its session before it closes, with a deadline in the past that later deadlines can't replace. A lint remark on two tests is answered, and one function moved to a file of its own.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -29,10 +29,8 @@
 	proposeTimeout = 5 * time.Second
 	// stopTimeout limits the leadership transfer and the draining of HTTP requests separately. Both must finish before
 	// the platform kills the process, which it does after a few seconds.
-	stopTimeout = 2 * time.Second
-	// openRetryDelay is the time between attempts to open a data folder whose disk can't be written.
-	openRetryDelay = 500 * time.Millisecond
-	timelineSize   = 4096
+	stopTimeout  = 2 * time.Second
+	timelineSize = 4096
 )
 
 var (
@@ -103,26 +101,6 @@
 	return c.serve(ctx)
 }
 
-// openStore opens the data folder. While its disk can't be written, it tries again until ctx ends, and then returns nil.
-func (c *Control) openStore(ctx context.Context) (*store.Store, error) {
-	logged := false
-	for {
-		opened, err := store.Open(c.storeSettings(), c.state, c.pool, c.peers, store.WithLogger(c.logger))
-		if err == nil || !store.IsDiskFault(err) {
-			return opened, err
-		}
-		if !logged {
-			c.logger.Error().Err(err).Msg("control: the data folder can't be opened; trying again until its disk can be written")
-			logged = true
-		}
-		select {
-		case <-time.After(openRetryDelay):
-		case <-ctx.Done():
-			return nil, nil
-		}
-	}
-}
-
 // serve runs the servers and background loops until ctx ends or one of them fails.
 func (c *Control) serve(ctx context.Context) error {
 	operators, err := newOperatorsServer(c)
--- a/internal/daemon/linkattach_test.go
+++ b/internal/daemon/linkattach_test.go
@@ -71,7 +71,8 @@
 			return
 		}
 		c.events <- used
-		for stream.Receive(&message) == nil {
+		for err := error(nil); err == nil; {
+			err = stream.Receive(&message)
 		}
 	})
 	go func() { _ = server.Serve(listener) }()
@@ -123,7 +124,8 @@
 					if first := control.nextEvent(t); first != answered {
 						t.Errorf("first event: %s, want that %s", first, answered)
 					}
-					for control.nextEvent(t) != used {
+					for event := abandoned; event != used; {
+						event = control.nextEvent(t)
 					}
 				})
 			}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/hashicorp/yamux"
 	"github.com/rs/zerolog"
 
 	"sapphirespread.example/internal/peer/peerpb"
@@ -32,7 +31,7 @@
 // poolEntry is the session to an address. Its session and err are set when ready is closed.
 type poolEntry struct {
 	ready   chan struct{}
-	session *yamux.Session
+	session *session
 	err     error
 }
 
@@ -101,12 +100,11 @@
 	if entry.err != nil {
 		return nil, entry.err
 	}
-	inner, err := entry.session.OpenStream()
+	stream, err := entry.session.openStream()
 	if err != nil {
 		p.removeEntry(address, entry)
 		return nil, errors.Join(errSessionLost, err)
 	}
-	stream := newStream(inner)
 	if err := stream.Send(&peerpb.StreamHeader{Kind: kind}); err != nil {
 		_ = stream.Close()
 		p.removeEntry(address, entry)
@@ -159,7 +157,7 @@
 	p.logger.Debug().Str("process", peer.Process).Stringer("address", address).Msg("peer: session opened")
 }
 
-func (p *Pool) dialSession(address netip.AddrPort) (*yamux.Session, Identity, error) {
+func (p *Pool) dialSession(address netip.AddrPort) (*session, Identity, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), p.dialTimeout)
 	defer cancel()
 	var dialer net.Dialer
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -135,11 +135,11 @@
 	s.serveStreams(session, from)
 }
 
-func (s *Server) acceptSession(conn net.Conn) (*yamux.Session, Identity, error) {
+func (s *Server) acceptSession(conn net.Conn) (*session, Identity, error) {
 	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
 		return nil, Identity{}, err
 	}
-	session, err := yamux.Server(newFrameConn(conn), sessionConfig())
+	session, err := newSession(conn, yamux.Server)
 	if err != nil {
 		return nil, Identity{}, err
 	}
@@ -154,28 +154,27 @@
 	return session, from, nil
 }
 
-func (s *Server) acceptHandshake(session *yamux.Session) (Identity, error) {
-	inner, err := session.AcceptStream()
+func (s *Server) acceptHandshake(session *session) (Identity, error) {
+	stream, err := session.acceptStream()
 	if err != nil {
 		return Identity{}, err
 	}
-	stream := newStream(inner)
 	defer func() { _ = stream.Close() }()
 	return serverHandshake(stream, s.self)
 }
 
-func (s *Server) serveStreams(session *yamux.Session, from Identity) {
+func (s *Server) serveStreams(session *session, from Identity) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var streams sync.WaitGroup
 	defer streams.Wait()
 	defer cancel()
 	defer func() { _ = session.Close() }()
 	for {
-		inner, err := session.AcceptStream()
+		stream, err := session.acceptStream()
 		if err != nil {
 			return
 		}
-		streams.Go(func() { s.serveStream(ctx, from, newStream(inner)) })
+		streams.Go(func() { s.serveStream(ctx, from, stream) })
 	}
 }
 
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -30,9 +30,43 @@
 	}
 }
 
+// A session is a yamux session with its open streams.
+type session struct {
+	*yamux.Session
+	streams *openStreams
+}
+
+// newSession starts a session on conn with yamux.Client or yamux.Server.
+func newSession(conn net.Conn, start func(io.ReadWriteCloser, *yamux.Config) (*yamux.Session, error)) (*session, error) {
+	streams := newOpenStreams()
+	inner, err := start(&interruptingConn{Conn: newFrameConn(conn), streams: streams}, sessionConfig())
+	if err != nil {
+		return nil, err
+	}
+	return &session{Session: inner, streams: streams}, nil
+}
+
+// openStream opens a stream.
+func (s *session) openStream() (*Stream, error) {
+	inner, err := s.OpenStream()
+	if err != nil {
+		return nil, err
+	}
+	return newStream(inner, s.streams), nil
+}
+
+// acceptStream waits for a stream that the peer opens.
+func (s *session) acceptStream() (*Stream, error) {
+	inner, err := s.AcceptStream()
+	if err != nil {
+		return nil, err
+	}
+	return newStream(inner, s.streams), nil
+}
+
 // dialSession starts a session on conn and performs the handshake. It closes conn if either fails.
-func dialSession(conn net.Conn, self Identity) (*yamux.Session, Identity, error) {
-	session, err := yamux.Client(newFrameConn(conn), sessionConfig())
+func dialSession(conn net.Conn, self Identity) (*session, Identity, error) {
+	session, err := newSession(conn, yamux.Client)
 	if err != nil {
 		_ = conn.Close()
 		return nil, Identity{}, err
@@ -45,12 +79,11 @@
 	return session, peer, nil
 }
 
-func openHandshake(session *yamux.Session, self Identity) (Identity, error) {
-	inner, err := session.OpenStream()
+func openHandshake(session *session, self Identity) (Identity, error) {
+	stream, err := session.openStream()
 	if err != nil {
 		return Identity{}, err
 	}
-	stream := newStream(inner)
 	defer func() { _ = stream.Close() }()
 	_ = stream.SetDeadline(time.Now().Add(handshakeTimeout))
 	return clientHandshake(stream, self)
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -23,12 +23,14 @@
 // A Stream is a bidirectional stream of messages. One goroutine may send while another one receives.
 type Stream struct {
 	inner    *yamux.Stream
+	open     *openStreams
 	reader   *bufio.Reader
 	buffered []byte
 }
 
-func newStream(inner *yamux.Stream) *Stream {
-	return &Stream{inner: inner, reader: bufio.NewReaderSize(inner, readBufferBytes)}
+func newStream(inner *yamux.Stream, open *openStreams) *Stream {
+	open.add(inner)
+	return &Stream{inner: inner, open: open, reader: bufio.NewReaderSize(inner, readBufferBytes)}
 }
 
 // Send writes the buffered messages followed by message. It returns after the session has accepted them, before the
@@ -68,21 +70,22 @@
 
 // SetDeadline sets the deadline for sends and receives. The zero time removes the deadline.
 func (s *Stream) SetDeadline(deadline time.Time) error {
-	return s.inner.SetDeadline(deadline)
+	return s.open.setDeadline(s.inner.SetDeadline, deadline)
 }
 
 // SetReadDeadline sets the deadline for receives. The zero time removes the deadline.
 func (s *Stream) SetReadDeadline(deadline time.Time) error {
-	return s.inner.SetReadDeadline(deadline)
+	return s.open.setDeadline(s.inner.SetReadDeadline, deadline)
 }
 
 // SetWriteDeadline sets the deadline for sends. The zero time removes the deadline.
 func (s *Stream) SetWriteDeadline(deadline time.Time) error {
-	return s.inner.SetWriteDeadline(deadline)
+	return s.open.setDeadline(s.inner.SetWriteDeadline, deadline)
 }
 
 // Close closes the stream for both sending and receiving.
 func (s *Stream) Close() error {
+	s.open.remove(s.inner)
 	return s.inner.Close()
 }
 
@@ -104,6 +107,6 @@
 
 // Abort closes the stream and interrupts pending sends and receives.
 func (s *Stream) Abort() {
-	_ = s.inner.Close()
-	_ = s.inner.SetDeadline(time.Unix(1, 0))
+	_ = s.inner.SetDeadline(pastDeadline)
+	_ = s.Close()
 }
