--- a/internal/caller/pipeline/body.go
+++ b/internal/caller/pipeline/body.go
@@ -73,9 +73,11 @@
 	b.signal()
 }
 
-// skip reads over up to limit bytes of the rest, and reports whether that was all.
+// skip reads over up to limit bytes of the rest, and reports whether that was all. It is false during a read.
 func (b *body) skip(limit int64) bool {
-	b.mu.Lock()
+	if !b.mu.TryLock() {
+		return false
+	}
 	defer b.mu.Unlock()
 	if !b.complete.Load() && b.continued {
 		_, _ = io.CopyN(io.Discard, readerFunc(b.read), limit)
--- a/internal/caller/pipeline/exchange.go
+++ b/internal/caller/pipeline/exchange.go
@@ -98,7 +98,7 @@
 			return
 		}
 		ok = false
-		if cause != http.ErrAbortHandler { //nolint:errorlint // a panic value
+		if cause != http.ErrAbortHandler {
 			x.connection.server.logger.Error().Any("panic", cause).Bytes("stack", debug.Stack()).Msg("callers: the handler of a request failed")
 		}
 	}()
@@ -258,6 +258,8 @@
 	if x.fullDuplex {
 		return x.body.complete.Load()
 	}
+	// A caller that stalls gets its answer without delay and has to connect again.
+	_ = x.connection.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
 	return x.body.skip(maxDiscardedBytes)
 }
 
--- a/internal/caller/pipeline/pipeline_test.go
+++ b/internal/caller/pipeline/pipeline_test.go
@@ -305,6 +305,19 @@
 	c.expect("/0", long)
 }
 
+// TestStalledBodyDoesNotHoldBackAnAnswer checks that a request whose handler does not read its body is answered although
+// the body never ends, and that the connection closes.
+func TestStalledBodyDoesNotHoldBackAnAnswer(t *testing.T) {
+	s := newServer(t, func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "no", http.StatusUnauthorized) })
+	for _, framing := range []string{"Content-Length: 100", "Transfer-Encoding: chunked", "Content-Length: 100000000"} {
+		c := s.dial(t)
+		c.send("POST / HTTP/1.1\r\nHost: x\r\n" + framing + "\r\n\r\n1")
+		if status, _, closes := c.receive(); status != http.StatusUnauthorized || !closes {
+			t.Errorf("%s: status %d, closes %t", framing, status, closes)
+		}
+	}
+}
+
 // TestStopAnswersWhatWasRead stops the server while requests run, while one is arriving and while connections are idle.
 // Each request that was read is answered, with the notice that the connection closes, and idle connections end.
 func TestStopAnswersWhatWasRead(t *testing.T) {
