--- a/internal/daemon/generation_test.go
+++ b/internal/daemon/generation_test.go
@@ -6,10 +6,8 @@
 	"testing"
 	"time"
 
-	"sapphirespread.example/internal/daemon"
 	"sapphirespread.example/internal/peer"
 	"sapphirespread.example/internal/peer/peerpb"
-	"sapphirespread.example/internal/settings"
 )
 
 // TestDaemonRefusesLeadersOfOlderGenerations checks that a daemon detaches from a leader of an older generation, or of
@@ -47,19 +45,7 @@
 	listener := listen(t)
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
-	s := settings.Daemon{
-		Name: "daemon-1", Cluster: "test", FailureDomain: "domain-1", Freshness: time.Second,
-		Control:  []netip.AddrPort{addressOf(listener)},
-		Timeouts: settings.Timeouts{ReadHeader: time.Second, Idle: time.Minute, BodyStall: time.Second, Dial: time.Second, Drain: time.Second},
-	}
-	d := daemon.New(s, daemon.WithListeners(daemon.Listeners{Callers: listen(t), Peers: listen(t), Subcalls: listen(t), Operators: listen(t)}))
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- d.Run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		<-ended
-	})
+	runDaemon(t, []netip.AddrPort{addressOf(listener)})
 	for _, answer := range answers {
 		select {
 		case got := <-used:
--- a/internal/store/failure_test.go
+++ b/internal/store/failure_test.go
@@ -171,6 +171,20 @@
 	return failing
 }
 
+// newClusterOnFailingFolders returns three voters on folders with injectable faults, and the commands that they have
+// applied.
+func newClusterOnFailingFolders(t *testing.T) (c *cluster, folders []*failingFolder, commands []string) {
+	t.Helper()
+	c = newCluster(t, 3)
+	commands = c.proposeNumbered(nil, 3)
+	c.waitForVoters()
+	for _, inst := range c.instances {
+		folders = append(folders, c.restartOnFailingFolder(inst))
+		c.waitForVoters()
+	}
+	return c, folders, commands
+}
+
 // checkRestart restarts all instances and checks that they have the commands on their disks.
 func (c *cluster) checkRestart(folders []*failingFolder, commands []string) {
 	c.t.Helper()
@@ -197,14 +211,7 @@
 		for _, leads := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, leader %t", name, leads), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					c := newCluster(t, 3)
-					commands := c.proposeNumbered(nil, 3)
-					c.waitForVoters()
-					var folders []*failingFolder
-					for _, inst := range c.instances {
-						folders = append(folders, c.restartOnFailingFolder(inst))
-						c.waitForVoters()
-					}
+					c, folders, commands := newClusterOnFailingFolders(t)
 					at := slices.IndexFunc(c.instances, func(inst *instance) bool { return (inst == c.leader()) == leads })
 					failing, fault := c.instances[at], faultOf(folders[at])
 					fault.Store(true)
@@ -242,14 +249,7 @@
 // that all instances agree again when there is room.
 func TestClusterWithTwoFullDisksAcknowledgesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, 3)
-		commands := c.proposeNumbered(nil, 3)
-		c.waitForVoters()
-		var folders []*failingFolder
-		for _, inst := range c.instances {
-			folders = append(folders, c.restartOnFailingFolder(inst))
-			c.waitForVoters()
-		}
+		c, folders, commands := newClusterOnFailingFolders(t)
 		leader := c.leader()
 		filled := 0
 		for i, inst := range c.instances {
