Leave requests alone that run behind an answer

Cause: each answer left a read deadline of half a second on its connection. Change: the deadline is set only where the rest of a body is awaited, and lifted after it.

--- a/internal/caller/pipeline/exchange.go
+++ b/internal/caller/pipeline/exchange.go
@@ -255,12 +255,17 @@
 // bodyCanBeSkipped reports whether the next request can be read after the answer. The rest of a short body is read over
 // first, unless the handler may still read it.
 func (x *exchange) bodyCanBeSkipped() bool {
-	if x.fullDuplex {
+	if x.fullDuplex || x.body.complete.Load() {
 		return x.body.complete.Load()
 	}
-	// A caller that stalls gets its answer without delay and has to connect again.
+	// A caller that stalls gets its answer without delay and has to connect again. Nothing else is read meanwhile, since the
+	// next request follows the body.
 	_ = x.connection.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
-	return x.body.skip(maxDiscardedBytes)
+	if !x.body.skip(maxDiscardedBytes) {
+		return false
+	}
+	_ = x.connection.conn.SetReadDeadline(time.Time{})
+	return true
 }
 
 // send writes a part of the body with its framing.
--- a/internal/caller/pipeline/pipeline_test.go
+++ b/internal/caller/pipeline/pipeline_test.go
@@ -318,6 +318,26 @@
 	}
 }
 
+// TestAnswerLeavesLaterRequestsAlone checks that a request goes on for long after the answer to the one before it. An
+// answer used to leave a deadline of half a second on the connection, which looked like the end of the caller.
+func TestAnswerLeavesLaterRequestsAlone(t *testing.T) {
+	g := newGate()
+	s := newServer(t, func(w http.ResponseWriter, r *http.Request) {
+		g.handle(w, r)
+		if r.Context().Err() != nil {
+			t.Errorf("%s was canceled", r.URL.Path)
+		}
+	})
+	c := s.dial(t)
+	c.send(get("/0") + get("/1"))
+	g.awaitStarted(t, 2)
+	g.release("/0")
+	c.expect("/0")
+	time.Sleep(time.Second)
+	g.release("/1")
+	c.expect("/1")
+}
+
 // TestStopAnswersWhatWasRead stops the server while requests run, while one is arriving and while connections are idle.
 // Each request that was read is answered, with the notice that the connection closes, and idle connections end.
 func TestStopAnswersWhatWasRead(t *testing.T) {
