--- a/internal/control/attach.go
+++ b/internal/control/attach.go
@@ -58,7 +58,7 @@
 // show the leader lease.
 func (c *Control) serveSession(ctx context.Context, l *leadership, attach *peerpb.Attach, stream *peer.Stream) {
 	if !c.holdsLease(l.term) {
-		redirect := &peerpb.Redirect{Reason: "this instance cannot show the leader lease"}
+		redirect := &peerpb.Redirect{Reason: reasonNoLease}
 		_ = stream.Send(&peerpb.ControlMessage{Body: &peerpb.ControlMessage_Redirect{Redirect: redirect}})
 		return
 	}
--- a/internal/control/sessionwrite.go
+++ b/internal/control/sessionwrite.go
@@ -12,7 +12,11 @@
 	"sapphirespread.example/quarantine"
 )
 
-const writeTimeout = 3 * time.Second
+const (
+	writeTimeout = 3 * time.Second
+	// reasonNoLease is the reason of a redirect by an instance whose lease has ended or has not begun.
+	reasonNoLease = "this instance cannot show the leader lease"
+)
 
 var errLostLease = errors.New("leader lease lost")
 
@@ -181,7 +185,7 @@
 		return nil
 	}
 	if !s.control.holdsLease(s.leadership.term) {
-		redirect := &peerpb.Redirect{Reason: "this instance cannot show the leader lease"}
+		redirect := &peerpb.Redirect{Reason: reasonNoLease}
 		_ = s.write(&peerpb.ControlMessage{Body: &peerpb.ControlMessage_Redirect{Redirect: redirect}})
 		return errLostLease
 	}
--- a/limit/fallbackbucket.go
+++ b/limit/fallbackbucket.go
@@ -11,10 +11,10 @@
 	// fallbackDelay is a few times the round trip to the owner and shorter than the lifetime of a grant.
 	fallbackDelay = 100 * time.Millisecond
 	// fallbackBurstSeconds limits how many unspent tokens accumulate, in seconds of the rate. A workspace with a few
-	// requests a second sends them unevenly. The total spent stays within the rate times the silence and fallbackHeadStart.
+	// requests a second sends them unevenly. The total spent stays within one token and the rate times the silence.
 	fallbackBurstSeconds = 1.0
-	// fallbackHeadStart is the spending, in seconds of the rate, that a silence of a pressed workspace may begin with. It allows for requests that
-	// were waiting for a grant when the owner fell silent.
+	// fallbackHeadStart is the spending, in seconds of the rate, that a silence of a pressed workspace may begin with. It
+	// allows for requests that were waiting for a grant when the owner fell silent.
 	fallbackHeadStart = 0.25
 	// fallbackRateTimeConstant is long enough to measure the rate of workspaces with few requests.
 	fallbackRateTimeConstant = 2 * time.Second
@@ -67,8 +67,9 @@
 	return true
 }
 
-// initialTokens returns the part of a token with which a silence of a pressed workspace begins. It is spread evenly from 0 to 1 over the holders
-// and silences, so that many holders with less than one request a second each spend no more than their rates together.
+// initialTokens returns the part of a token with which a silence of a pressed workspace begins. It is spread evenly from
+// 0 to 1 over the holders and silences, so that many holders with less than one request a second each spend no more than
+// their rates together.
 func initialTokens(since time.Time) float64 {
 	var encoded [8]byte
 	binary.LittleEndian.PutUint64(encoded[:], uint64(since.UnixNano()))
