Tell when a daemon spends without its leader

Neither logs nor metrics told whether the tokens came from the leader or from spending in its silence, nor what the leader held. Change: one log line for each workspace and silence, a counter of the tokens, and the token buckets in the metrics of the leader. No decision changes. Result: TestFallbackSpendingIsReportedOncePerSilence.

--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -186,6 +186,13 @@
 	return l.pressed
 }
 
+// bucketStats returns the state of the token bucket of each workspace.
+func (l *leadership) bucketStats(now time.Time) []limit.BucketStats {
+	l.ownerMu.Lock()
+	defer l.ownerMu.Unlock()
+	return l.owner.Stats(now)
+}
+
 // expireTargets removes targets that have stopped announcing themselves, and returns them.
 func (l *leadership) expireTargets(now time.Time) []target.Target {
 	l.targetMu.Lock()
--- a/internal/control/operators.go
+++ b/internal/control/operators.go
@@ -11,6 +11,7 @@
 	"sapphirespread.example/internal/host/boottime"
 	"sapphirespread.example/internal/host/framing"
 	"sapphirespread.example/internal/operator"
+	"sapphirespread.example/limit"
 )
 
 const maxHeaderBytes = 64 << 10
@@ -81,6 +82,8 @@
 	Readiness readiness `json:"readiness"`
 	Sessions  int       `json:"sessions"`
 	Targets   int       `json:"targets"`
+	// Limits holds the token bucket of each workspace.
+	Limits []limit.BucketStats `json:"limits,omitempty"`
 }
 
 func (c *Control) metrics() metricsReport {
@@ -90,6 +93,7 @@
 		l.targetMu.Lock()
 		report.Targets = len(l.targets.Targets())
 		l.targetMu.Unlock()
+		report.Limits = l.bucketStats(boottime.Now())
 	}
 	return report
 }
--- a/internal/daemon/decisions.go
+++ b/internal/daemon/decisions.go
@@ -50,6 +50,7 @@
 	RecordHeartbeat(now time.Time)
 	SetPressed(workspaces []string)
 	Disconnect(now time.Time)
+	FallbackTokens() int64
 }
 
 // retryBudget is implemented by retry.Budget and its recorder.
@@ -84,7 +85,7 @@
 	targets := target.NewTable(target.WithTableEvents(d.logTargetChange))
 	selector := target.NewChooser(targets, target.WithFailureDomain(d.settings.FailureDomain), target.WithDaemon(d.settings.Name), target.WithCrossDomainCost(d.settings.FarCost))
 	admissionControl := priority.NewAdmission()
-	tokens := limit.NewHolder(limit.WithFallbackSpending(d.settings.Coasting))
+	tokens := limit.NewHolder(limit.WithFallbackSpending(d.settings.Coasting), limit.WithFallbackEvents(d.logFallback))
 	list, inFlight := quarantine.NewList(), quarantine.NewInFlight()
 	if d.recorder == nil {
 		d.table, d.chooser, d.holder = targets, selector, tokens
@@ -105,3 +106,9 @@
 		Str("service", e.Target.Service).Str("state", string(e.Target.State)).Int("slots", e.Target.Slots).
 		Uint64("epoch", e.Epoch).Uint64("version", e.Version).Msg("daemon: target changed")
 }
+
+// logFallback logs that a workspace begins to spend at its recent rate because the leader grants no tokens.
+func (d *Daemon) logFallback(e limit.FallbackEvent) {
+	d.logger.Info().Str("workspace", e.Workspace).Int64("silence-ms", e.Silence.Milliseconds()).Bool("disconnected", e.Disconnected).
+		Float64("rate", e.Rate).Bool("pressed", e.Pressed).Int64("spent-before", e.Spent).Msg("daemon: spends without the leader")
+}
--- a/limit/fallbackbucket.go
+++ b/limit/fallbackbucket.go
@@ -27,6 +27,8 @@
 	weight     float64 // total weight of the observations in rate, from 0 to 1
 	tokens     float64
 	refilledAt time.Time
+	spent      int64     // tokens spent from the bucket in all silences
+	reported   time.Time // the last silence that was reported as an event
 }
 
 // updateRate adds an observed spending rate, in tokens per second, to the moving average.
@@ -64,6 +66,7 @@
 		return false
 	}
 	b.tokens -= float64(tokens)
+	b.spent += tokens
 	return true
 }
 
@@ -77,16 +80,26 @@
 }
 
 // spendFallback spends tokens of the fallback bucket if the owner has been silent for at least fallbackDelay and for
-// less than maximum.
-func (a *account) spendFallback(now time.Time, tokens int64, silence, maximum time.Duration, pressed bool) bool {
-	if silence < fallbackDelay || silence >= maximum {
+// less than the maximum of h. It reports the first spending of each silence.
+func (a *account) spendFallback(now time.Time, tokens int64, h *Holder) bool {
+	silence, disconnected := h.ownerSilence(now)
+	if silence < fallbackDelay || silence >= h.maximumFallback {
 		return false
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.fallback.spend(now, tokens, silence, pressed) {
+	event := FallbackEvent{
+		Workspace: a.workspace, Silence: silence, Disconnected: disconnected,
+		Rate: a.fallback.unbiasedRate(), Pressed: h.isPressed(a.workspace), Spent: a.fallback.spent,
+	}
+	if !a.fallback.spend(now, tokens, silence, event.Pressed) {
 		return false
 	}
 	a.spent += tokens
+	h.fallbackTokens.Add(tokens)
+	if since := now.Add(-silence); a.fallback.reported.Before(since) {
+		a.fallback.reported = since
+		h.fallbackEvent(event)
+	}
 	return true
 }
--- a/limit/fallbackbucket_test.go
+++ b/limit/fallbackbucket_test.go
@@ -313,3 +313,26 @@
 		t.Errorf("%d tokens spent, but the live owner granted only %d", spent, granted)
 	}
 }
+
+// TestFallbackSpendingIsReportedOncePerSilence guards against spending without the owner that leaves no trace.
+func TestFallbackSpendingIsReportedOncePerSilence(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	var events []limit.FallbackEvent
+	h := limit.NewHolder(limit.WithFallbackSpending(2*time.Second), limit.WithFallbackEvents(func(e limit.FallbackEvent) { events = append(events, e) }))
+	h.Wait(now, "club")
+	h.RecordHeartbeat(now)
+	for range 2 {
+		h.Disconnect(now.Add(time.Millisecond))
+		now = now.Add(300 * time.Millisecond)
+		if !h.Spend(now, "club", 1) || h.Spend(now, "club", 1) {
+			t.Fatal("the first token of a silence was not spent, or a second one was")
+		}
+		h.RecordHeartbeat(now)
+	}
+	if len(events) != 2 || events[0].Workspace != "club" || !events[0].Disconnected || events[0].Silence != 299*time.Millisecond || events[1].Spent != 1 {
+		t.Errorf("got %+v, want one event for each of the two silences", events)
+	}
+	if got := h.FallbackTokens(); got != 2 {
+		t.Errorf("%d tokens counted, want 2", got)
+	}
+}
--- a/limit/holder.go
+++ b/limit/holder.go
@@ -22,6 +22,8 @@
 	pendingSince    atomic.Pointer[time.Time] // when the first grant request after lastHeartbeat was sent
 	disconnectedAt  atomic.Pointer[time.Time] // when the connection to the owner was lost
 	pressed         atomic.Pointer[map[string]bool]
+	fallbackTokens  atomic.Int64
+	fallbackEvent   func(FallbackEvent)
 	shards          [holderShards]shard
 }
 
@@ -32,6 +34,7 @@
 		idleAfter:      DefaultIdleAfter,
 		requestTimeout: DefaultRequestTimeout,
 		margin:         DefaultClockRateMargin,
+		fallbackEvent:  func(FallbackEvent) {},
 	}
 	for _, opt := range opts {
 		opt(h)
@@ -46,7 +49,12 @@
 	if a == nil {
 		return tokens <= 0
 	}
-	return a.spend(now, tokens) || h.maximumFallback > 0 && a.spendFallback(now, tokens, h.ownerSilence(now), h.maximumFallback, h.isPressed(workspace))
+	return a.spend(now, tokens) || h.maximumFallback > 0 && a.spendFallback(now, tokens, h)
+}
+
+// FallbackTokens returns the number of tokens spent without the owner since the start.
+func (h *Holder) FallbackTokens() int64 {
+	return h.fallbackTokens.Load()
 }
 
 // SetPressed sets the workspaces that use up their limit according to the owner. Fallback spending is stricter for them.
@@ -66,18 +74,18 @@
 // ownerSilence returns how long the owner has failed to respond: the time since the first unanswered grant request or
 // since the loss of the connection, whichever is longer. It is 0 if no request is unanswered and the connection is up,
 // and the maximum duration if the owner has never responded.
-func (h *Holder) ownerSilence(now time.Time) time.Duration {
+func (h *Holder) ownerSilence(now time.Time) (silence time.Duration, disconnected bool) {
 	lastHeartbeat := h.lastHeartbeat.Load()
 	if lastHeartbeat == nil {
-		return math.MaxInt64
+		return math.MaxInt64, true
 	}
-	silence := time.Duration(0)
-	for _, since := range []*time.Time{h.pendingSince.Load(), h.disconnectedAt.Load()} {
-		if since != nil && since.After(*lastHeartbeat) {
-			silence = max(silence, now.Sub(*since))
-		}
+	if since := h.pendingSince.Load(); since != nil && since.After(*lastHeartbeat) {
+		silence = now.Sub(*since)
+	}
+	if since := h.disconnectedAt.Load(); since != nil && since.After(*lastHeartbeat) {
+		silence, disconnected = max(silence, now.Sub(*since)), true
 	}
-	return silence
+	return silence, disconnected
 }
 
 // RecordHeartbeat records a heartbeat of the owner that carries no grant, for example the notice that a grant request
