Charge the owner's bucket for what holders spend without it

Cause: a daemon whose leader does not answer for 100 ms spends on at its recent rate. It can't tell a lost leader from late answers, on a link that loses packets. A living leader grants the whole rate meanwhile and never learns of the spending: the limit counts twice. Change: holders tell totals of such spending with their returns, owners lower the level by the growth, also below zero. A repeated or lost message does no harm; a new owner charges what was spent since the end of its hold-off.

--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -234,7 +234,7 @@
 	s.send(&peerpb.ControlMessage{Body: &peerpb.ControlMessage_Grants{Grants: message}})
 }
 
-// returnTokens returns unspent tokens of grants to their buckets.
+// returnTokens returns unspent tokens of grants to their buckets and charges the buckets for fallback spending.
 func (s *session) returnTokens(now time.Time, returns *peerpb.Returns) {
 	s.leadership.ownerMu.Lock()
 	defer s.leadership.ownerMu.Unlock()
@@ -245,4 +245,12 @@
 			Tokens:    returned.GetTokens(),
 		})
 	}
+	for _, spent := range returns.GetFallbackSpending() {
+		s.leadership.owner.ChargeFallbackSpending(now, s.holder, limit.FallbackSpending{
+			Workspace: spent.GetWorkspace(),
+			Total:     spent.GetTotal(),
+			Recent:    spent.GetRecent(),
+			Period:    time.Duration(spent.GetPeriodUs()) * time.Microsecond,
+		})
+	}
 }
--- a/internal/daemon/decisions.go
+++ b/internal/daemon/decisions.go
@@ -51,6 +51,7 @@
 	SetPressed(workspaces []string)
 	Disconnect(now time.Time)
 	FallbackTokens() int64
+	CollectFallbackSpending(now time.Time) []limit.FallbackSpending
 }
 
 // retryBudget is implemented by retry.Budget and its recorder.
--- a/internal/daemon/linkgrants.go
+++ b/internal/daemon/linkgrants.go
@@ -8,13 +8,15 @@
 	"sapphirespread.example/limit"
 )
 
-// requestGrants returns idle tokens to control and sends the grant requests that current demand calls for.
+// requestGrants returns idle tokens to control, tells it of fallback spending, and sends the grant requests that current
+// demand calls for.
 func (s *linkSession) requestGrants() error {
 	now := boottime.Now()
-	if err := s.sendReturns(s.link.daemon.holder.CollectReturns(now)); err != nil {
+	holder := s.link.daemon.holder
+	if err := s.sendReturns(holder.CollectReturns(now), holder.CollectFallbackSpending(now)); err != nil {
 		return err
 	}
-	requests := s.link.daemon.holder.GrantRequests(now)
+	requests := holder.GrantRequests(now)
 	if len(requests) == 0 {
 		return nil
 	}
@@ -30,8 +32,8 @@
 	return s.stream.Send(&peerpb.DaemonMessage{Body: &peerpb.DaemonMessage_Asks{Asks: encoded}})
 }
 
-func (s *linkSession) sendReturns(returned []limit.Return) error {
-	if len(returned) == 0 {
+func (s *linkSession) sendReturns(returned []limit.Return, spending []limit.FallbackSpending) error {
+	if len(returned)+len(spending) == 0 {
 		return nil
 	}
 	encoded := &peerpb.Returns{Returns: make([]*peerpb.Return, 0, len(returned))}
@@ -42,6 +44,14 @@
 			Tokens:    tokens.Tokens,
 		})
 	}
+	for _, spent := range spending {
+		encoded.FallbackSpending = append(encoded.FallbackSpending, &peerpb.FallbackSpending{
+			Workspace: spent.Workspace,
+			Total:     spent.Total,
+			Recent:    spent.Recent,
+			PeriodUs:  spent.Period.Microseconds(),
+		})
+	}
 	return s.stream.Send(&peerpb.DaemonMessage{Body: &peerpb.DaemonMessage_Returns{Returns: encoded}})
 }
 
--- a/internal/daemon/linksession.go
+++ b/internal/daemon/linksession.go
@@ -248,7 +248,7 @@
 // closeGracefully returns unspent tokens, sends queued messages and announces the departure of the target.
 func (s *linkSession) closeGracefully() error {
 	_ = s.stream.SetDeadline(time.Now().Add(gracefulCloseTimeout))
-	if err := s.sendReturns(s.link.daemon.holder.ReturnAll()); err != nil {
+	if err := s.sendReturns(s.link.daemon.holder.ReturnAll(), s.link.daemon.holder.CollectFallbackSpending(boottime.Now())); err != nil {
 		return err
 	}
 	for {
--- a/limit/account.go
+++ b/limit/account.go
@@ -308,11 +308,17 @@
 	return returns
 }
 
-func (a *account) disconnect() {
+// disconnect removes the open requests, whose answers are lost. What the owner was lately told of fallback spending may
+// be lost as well and is told again.
+func (a *account) disconnect(now time.Time, h *Holder) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.openRequests = a.openRequests[:0]
 	a.requestAfter = time.Time{}
+	if a.fallback.recent > 0 && now.Sub(a.fallback.silentSince) < h.maximumFallback {
+		a.fallback.reportedTotal = 0
+		h.unreportedFallback.Store(true)
+	}
 }
 
 func (a *account) removable(now time.Time) bool {
--- a/limit/fallbackbucket.go
+++ b/limit/fallbackbucket.go
@@ -27,8 +27,11 @@
 	weight     float64 // total weight of the observations in rate, from 0 to 1
 	tokens     float64
 	refilledAt time.Time
-	spent      int64     // tokens spent from the bucket in all silences
-	reported   time.Time // the last silence that was reported as an event
+
+	silentSince   time.Time // when the last silence began
+	recent        int64     // tokens spent in that silence
+	total         int64     // tokens spent in all silences
+	reportedTotal int64     // total when it was last collected for the owner
 }
 
 // updateRate adds an observed spending rate, in tokens per second, to the moving average.
@@ -52,7 +55,7 @@
 func (b *fallbackBucket) spend(now time.Time, tokens int64, silence time.Duration, pressed bool) bool {
 	since := now.Add(-silence)
 	if b.refilledAt.Before(since) {
-		b.refilledAt = since
+		b.refilledAt, b.silentSince, b.recent = since, since, 0
 		b.tokens = 1
 		if pressed {
 			b.tokens = min(1, initialTokens(since)+fallbackHeadStart*b.unbiasedRate())
@@ -66,7 +69,8 @@
 		return false
 	}
 	b.tokens -= float64(tokens)
-	b.spent += tokens
+	b.recent += tokens
+	b.total += tokens
 	return true
 }
 
@@ -90,15 +94,15 @@
 	defer a.mu.Unlock()
 	event := FallbackEvent{
 		Workspace: a.workspace, Silence: silence, Disconnected: disconnected,
-		Rate: a.fallback.unbiasedRate(), Pressed: h.isPressed(a.workspace), Spent: a.fallback.spent,
+		Rate: a.fallback.unbiasedRate(), Pressed: h.isPressed(a.workspace), Spent: a.fallback.total,
 	}
 	if !a.fallback.spend(now, tokens, silence, event.Pressed) {
 		return false
 	}
 	a.spent += tokens
 	h.fallbackTokens.Add(tokens)
-	if since := now.Add(-silence); a.fallback.reported.Before(since) {
-		a.fallback.reported = since
+	h.unreportedFallback.Store(true)
+	if a.fallback.recent == tokens {
 		h.fallbackEvent(event)
 	}
 	return true
--- a/limit/holder.go
+++ b/limit/holder.go
@@ -23,8 +23,10 @@
 	disconnectedAt  atomic.Pointer[time.Time] // when the connection to the owner was lost
 	pressed         atomic.Pointer[map[string]bool]
 	fallbackTokens  atomic.Int64
-	fallbackEvent   func(FallbackEvent)
-	shards          [holderShards]shard
+	// unreportedFallback is whether CollectFallbackSpending has anything to return.
+	unreportedFallback atomic.Bool
+	fallbackEvent      func(FallbackEvent)
+	shards             [holderShards]shard
 }
 
 // NewHolder returns a holder without tokens.
@@ -186,7 +188,7 @@
 	}
 	for i := range h.shards {
 		for _, a := range h.shards[i].accounts() {
-			a.disconnect()
+			a.disconnect(now, h)
 		}
 	}
 }
--- a/limit/holderoption.go
+++ b/limit/holderoption.go
@@ -23,8 +23,7 @@
 }
 
 // WithFallbackSpending enables fallback spending: a holder whose owner is silent continues to spend at the recently
-// observed rate until the silence reaches maximum. These tokens don't come from the owner's bucket, so during a change
-// of owners a window may exceed its limit by up to maximum times the rate.
+// observed rate until the silence reaches maximum. CollectFallbackSpending tells the owner of these tokens afterwards.
 func WithFallbackSpending(maximum time.Duration) HolderOption {
 	return func(h *Holder) { h.maximumFallback = maximum }
 }
--- a/limit/owner_test.go
+++ b/limit/owner_test.go
@@ -123,3 +123,78 @@
 		}
 	}
 }
+
+// TestFallbackSpendingIsChargedOnce guards against an owner that grants what a holder has spent in its place, and against
+// one that charges it again: a message of the holder may be lost or repeated, and the spending before the end of a new
+// owner's hold-off had no refill.
+func TestFallbackSpendingIsChargedOnce(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	const rate, burst = 10, 100
+	holdOff := limit.HoldOff(limit.DefaultGrantDuration, limit.DefaultClockRateMargin)
+	level := func(o *limit.Owner, now time.Time) int64 { return o.Stats(now)[0].Level }
+	spending := func(total, recent int64, period time.Duration) limit.FallbackSpending {
+		return limit.FallbackSpending{Workspace: "club", Total: total, Recent: recent, Period: period}
+	}
+	buckets := []limit.NamedBucket{{Workspace: "club", Bucket: limit.Bucket{Rate: rate, Burst: burst}}}
+
+	living := limit.NewOwner(start)
+	now := start.Add(time.Second)
+	living.SetBuckets(now, buckets)
+	for _, step := range []struct {
+		total, recent, want int64
+	}{{30, 30, 70}, {30, 30, 70}, {45, 15, 55}, {200, 155, -100}, {10, 10, -110}, {100000, 99990, -120}} {
+		living.ChargeFallbackSpending(now, "daemon", spending(step.total, step.recent, 100*time.Millisecond))
+		if got := level(living, now); got != step.want {
+			t.Errorf("a level of %d after a total of %d, want %d", got, step.total, step.want)
+		}
+	}
+	if grant, answered := living.Request(now, "daemon", limit.GrantRequest{ID: 1, Workspace: "club", Tokens: 1, Waiting: 1}); !answered || grant.Tokens > 0 {
+		t.Errorf("an owner in debt answered %+v", grant)
+	}
+	if got := level(living, now.Add(13*time.Second)); got < 5 || got > 10 {
+		t.Errorf("a level of %d, 13 s after a debt of 120 at a rate of %d, want about 10", got, rate)
+	}
+
+	fresh := limit.NewOwner(start, limit.WithOwnerStart(holdOff))
+	fresh.SetBuckets(start, buckets)
+	fresh.ChargeFallbackSpending(start.Add(holdOff/2), "early", spending(500, 20, time.Second))
+	now = start.Add(holdOff + 4*time.Second)
+	before := level(fresh, now)
+	fresh.ChargeFallbackSpending(now, "early", spending(500, 20, 5*time.Second))
+	if got := level(fresh, now); got != before {
+		t.Errorf("spending before the end of the hold-off lowered the level from %d to %d", before, got)
+	}
+	fresh.ChargeFallbackSpending(now, "late", spending(500, 20, 8*time.Second))
+	if got := level(fresh, now); got != before-10 {
+		t.Errorf("a level of %d after 20 tokens of which half were spent since the hold-off, want %d", got, before-10)
+	}
+}
+
+// TestFallbackSpendingIsToldAgainAfterALostConnection guards against spending that an owner never learns of, since the
+// message with it was lost with the connection.
+func TestFallbackSpendingIsToldAgainAfterALostConnection(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	h := limit.NewHolder(limit.WithFallbackSpending(2 * time.Second))
+	h.Wait(now, "club")
+	h.RecordHeartbeat(now)
+	h.Disconnect(now.Add(time.Millisecond))
+	now = now.Add(time.Second)
+	if !h.Spend(now, "club", 1) {
+		t.Fatal("no token spent in the silence")
+	}
+	want := limit.FallbackSpending{Workspace: "club", Total: 1, Recent: 1, Period: 999 * time.Millisecond}
+	if got := h.CollectFallbackSpending(now); len(got) != 1 || got[0] != want {
+		t.Errorf("collected %+v, want %+v", got, want)
+	}
+	if got := h.CollectFallbackSpending(now); len(got) != 0 {
+		t.Errorf("collected %+v once more", got)
+	}
+	h.Disconnect(now)
+	if got := h.CollectFallbackSpending(now); len(got) != 1 || got[0] != want {
+		t.Errorf("collected %+v after a lost connection, want %+v", got, want)
+	}
+	h.Disconnect(now.Add(time.Minute))
+	if got := h.CollectFallbackSpending(now.Add(time.Minute)); len(got) != 0 {
+		t.Errorf("collected %+v a minute later", got)
+	}
+}
--- a/limit/tokenbucket.go
+++ b/limit/tokenbucket.go
@@ -1,6 +1,9 @@
 package limit
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	nanotokensPerToken         = 1_000_000_000
@@ -11,6 +14,8 @@
 	unknownWorkspaceRetryAfter = time.Second // a daemon may receive a new workspace before the owner does
 	holderActiveTimeout        = time.Second
 	holderRetention            = 10 * time.Second
+	// maximumDebt limits what a bucket owes for spending without grants, as time of its rate beside its burst.
+	maximumDebt = 2 * time.Second
 )
 
 type grantKey struct {
@@ -46,12 +51,13 @@
 	workspace        string
 	bucket           Bucket
 	margin           float64
-	level            int64 // nanotokens
+	level            int64 // nanotokens; below zero after spending without grants
 	outstanding      int64
 	refilledAt       time.Time
 	grantsByExpiry   []issuedGrant // in order of expiry; closed grants stay until they expire
 	openGrants       map[grantKey]int64
 	holders          map[string]holderRecord
+	fallbackTotals   map[string]reportedFallback // by holder
 	activeHolders    int
 	holdersCountedAt time.Time
 	queue            []queuedRequest
@@ -66,6 +72,8 @@
 		refilledAt: holdOffUntil,
 		openGrants: make(map[grantKey]int64),
 		holders:    make(map[string]holderRecord),
+
+		fallbackTotals: make(map[string]reportedFallback),
 	}
 	if now.After(holdOffUntil) {
 		tb.refilledAt = now
@@ -117,7 +125,7 @@
 func (tb *tokenBucket) setBucket(b Bucket) {
 	tb.bucket = b.clamped()
 	tb.removed = false
-	tb.level = max(0, min(tb.level, tb.capacity()))
+	tb.level = min(tb.level, max(0, tb.capacity()))
 }
 
 func (tb *tokenBucket) addGrant(key grantKey, tokens int64, expires time.Time) {
@@ -136,7 +144,7 @@
 	delete(tb.openGrants, key)
 	tb.outstanding -= tokens
 	unspent = max(0, min(unspent, tokens))
-	tb.level = max(0, min(tb.level+unspent*nanotokensPerToken, tb.capacity()))
+	tb.level = min(tb.level+unspent*nanotokensPerToken, max(0, tb.capacity()))
 }
 
 // recordRequest records the time of a holder's grant request and reports whether the request is new. A request that was
@@ -175,6 +183,7 @@
 			delete(tb.holders, holder)
 		}
 	}
+	maps.DeleteFunc(tb.fallbackTotals, func(_ string, reported reportedFallback) bool { return now.Sub(reported.at) >= holderRetention })
 }
 
 // grantSize returns the number of tokens for the first queued grant request: a fair share for its waiting requests and,
