Serve nested calls of runs in progress while a daemon stops

What callers saw: in a planned stop, a request that its backend server was running ended with a failure of its own, when its nested call came after the daemon had begun to refuse callers: 503 draining. Cause: on the platform nested calls come to the address of callers, and the refusal looked at neither their root request nor its run. Change: a request that continues a run in progress here is served until the stop ends, as calls with a token are.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -30,7 +30,7 @@
 	defer d.inFlight.done()
 	d.counters.requests.Add(1)
 	arrival := d.dialect.ReadRequest(r.Header)
-	if d.refusesCallers() {
+	if d.refusesCallers() && !d.continuesRun(arrival) {
 		w.Header().Set("Connection", "close")
 		d.refuseCaller(w, arrival.RequestID, refuse(refusal.Draining, ""))
 		return
@@ -60,6 +60,11 @@
 	return d.refusingCallers.Load() || d.stopping.Load() && d.settings.Timeouts.CallersNotice == 0
 }
 
+// continuesRun reports whether a request belongs to a run in progress at the backend server, which needs its answer.
+func (d *Daemon) continuesRun(arrival dialect.Arrival) bool {
+	return arrival.RootRequestID != "" && d.runningCalls.find(xxhash.Sum64String(arrival.RootRequestID)) != nil
+}
+
 // newCallerCall returns the call for a caller's request, with its route, service, workspace and deadline. It may return
 // a call along with a refusal.
 func (d *Daemon) newCallerCall(r *http.Request, arrival dialect.Arrival) (*call, *attemptError) {
