Answer the requests that are left at the end of a stop

What callers saw: in a planned stop, a request that was taken in its notice and ran beyond the end of the stop got no answer: the connection ended (EOF), also for requests that may not be repeated. Cause: when the drain timeout was reached, the daemon closed its servers with the requests in flight. Change: it ends them first, and gives their callers 200 ms for a final answer, which does not say that they haven't run. Result: TestRequestsGetAFinalAnswerAtTheEndOfAStop, EOF before and 502 after. Such a run is still broken off: with six seconds from SIGTERM to SIGKILL and requests of up to six seconds there is no time for all of them.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -33,6 +33,8 @@
 	targetDrainTime = time.Second
 	// linkCloseTimeout exceeds gracefulCloseTimeout and leaves time to close sockets before the process is killed.
 	linkCloseTimeout = 400 * time.Millisecond
+	// finalAnswerTimeout is enough to write the refusals of all requests in flight.
+	finalAnswerTimeout = 200 * time.Millisecond
 )
 
 // Daemon is the sidecar of one backend server.
@@ -78,6 +80,9 @@
 	targetDraining   atomic.Bool // announces the target as draining; calls already on their way are still served
 	refusingPeers    atomic.Bool
 	refusingCallers  atomic.Bool
+	// drainEnded ends when the time of a stop for requests in flight is over. Those that are left are refused then.
+	drainEnded context.Context
+	endDrain   context.CancelFunc
 }
 
 // New returns a daemon configured by s, which serves nothing until Run is called.
@@ -97,6 +102,7 @@
 		latencies:     newLatencies(),
 		returnTimes:   newReturnTimes(),
 	}
+	d.drainEnded, d.endDrain = context.WithCancel(context.Background())
 	for _, option := range options {
 		option(d)
 	}
@@ -228,6 +234,7 @@
 	d.refusingCallers.Store(true)
 	if err := d.inFlight.wait(ctx); err != nil {
 		d.logger.Warn().Int("requests", d.inFlight.current()).Msg("daemon: drain timeout reached with requests in flight")
+		d.refuseInFlight()
 	}
 	stopLink()
 	select {
@@ -235,8 +242,11 @@
 	case <-time.After(linkCloseTimeout):
 		d.logger.Warn().Msg("daemon: control session did not close in time")
 	}
+	// After the drain timeout, the last answers still have to be written.
+	closeCtx, cancelClose := context.WithTimeout(context.Background(), max(finalAnswerTimeout, remainingTime(ctx)))
+	defer cancelClose()
 	for _, server := range servers {
-		server.stop(ctx)
+		server.stop(closeCtx)
 	}
 	_ = d.peers.Close()
 	_ = d.pool.Close()
@@ -244,6 +254,22 @@
 	d.logger.Info().Msg("daemon: stopped")
 }
 
+// refuseInFlight ends the requests in flight and waits until their callers have got a final answer.
+func (d *Daemon) refuseInFlight() {
+	d.endDrain()
+	ctx, cancel := context.WithTimeout(context.Background(), finalAnswerTimeout)
+	defer cancel()
+	if err := d.inFlight.wait(ctx); err != nil {
+		d.logger.Warn().Int("requests", d.inFlight.current()).Msg("daemon: stopped with requests that got no answer")
+	}
+}
+
+// remainingTime returns the time until the deadline of ctx.
+func remainingTime(ctx context.Context) time.Duration {
+	deadline, _ := ctx.Deadline()
+	return time.Until(deadline)
+}
+
 // SetControl replaces the configured control addresses without closing an established session; an empty list is
 // ignored.
 func (d *Daemon) SetControl(addresses []netip.AddrPort) {
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -252,11 +252,15 @@
 func (d *Daemon) serveRequest(w http.ResponseWriter, r *http.Request, c *call, admit func(context.Context) *attemptError) {
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	defer context.AfterFunc(d.drainEnded, cancel)()
 	controller := http.NewResponseController(w)
 	body := &stallReader{ReadCloser: r.Body, controller: controller, stallTimeout: d.settings.Timeouts.BodyStall, deadline: c.deadline}
 	body.complete.Store(r.ContentLength == 0)
 	r.Body = body
 	answer, refused := d.answerRequest(ctx, r, c, controller, admit)
+	if refused != nil && refused.kind == refusal.Cancelled && d.drainEnded.Err() != nil {
+		refused = refuse(refusal.TargetFailed, "the instance stopped before the answer")
+	}
 	if !body.complete.Load() {
 		w.Header().Set("Connection", "close")
 	}
