Take no earlier refusal for that of a request that runs

What callers may see: 'not run, try again' for a request that a backend server is running, or a second run elsewhere. Cause: a refusal without an ID was taken as the request's own, and a request that is sent again to the same backend server has the ID of the first time, so that a repeated refusal of the first passed for that of the second.

--- a/internal/backend/connection/options.go
+++ b/internal/backend/connection/options.go
@@ -16,6 +16,8 @@
 	// maxSkippedResponses and maxSkippedBytes limit the responses to other requests that are read over.
 	maxSkippedResponses = 16
 	maxSkippedBytes     = 1 << 20
+	// maxCarriedKeys is how many requests back a repeated response is expected at most.
+	maxCarriedKeys = 16
 	// bufferBytes is enough for the header of a usual request or response.
 	bufferBytes = 4 << 10
 )
--- a/internal/backend/connection/persistentconn.go
+++ b/internal/backend/connection/persistentconn.go
@@ -9,11 +9,13 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 )
 
@@ -32,6 +34,8 @@
 	reader      *bufio.Reader
 	writer      *bufio.Writer
 	staleAt     time.Time
+	carried     [maxCarriedKeys]uint64 // hashes of the keys of the last requests
+	requests    int
 }
 
 func newPersistentConn(p *Pool, address netip.AddrPort, conn net.Conn) *persistentConn {
@@ -71,9 +75,23 @@
 	return err == nil && idle
 }
 
+// carry records the key of a request that is about to be sent.
+func (c *persistentConn) carry(key string) {
+	if key != "" {
+		c.carried[c.requests%maxCarriedKeys] = xxhash.Sum64String(key)
+		c.requests++
+	}
+}
+
+// hasCarried reports whether one of the last requests had the key.
+func (c *persistentConn) hasCarried(key string) bool {
+	return key != "" && slices.Contains(c.carried[:min(c.requests, maxCarriedKeys)], xxhash.Sum64String(key))
+}
+
 // roundTrip sends the request and returns its response with an unread body. It interrupts the exchange when ctx is
 // canceled and closes the connection on failure.
 func (c *persistentConn) roundTrip(ctx context.Context, e Exchange) (*http.Response, error) {
+	c.carry(e.Key)
 	stop := context.AfterFunc(ctx, func() { _ = c.conn.SetDeadline(pastDeadline) })
 	write := c.startWrite(e.Request)
 	response, err := c.readResponse(e)
--- a/internal/backend/connection/pool.go
+++ b/internal/backend/connection/pool.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 )
@@ -30,6 +31,9 @@
 // An Exchange is a request with the callbacks that control its round trip.
 type Exchange struct {
 	Request *http.Request
+	// Key identifies the request in its responses, or is empty. A connection carries it once: a second response to the first
+	// request could not be told from that to the second one.
+	Key string
 	// BeforeWrite is called after a connection was acquired and before the first byte of the request is written.
 	BeforeWrite func()
 	// BelongsToRequest reports whether a response with this status and header belongs to the request. If BelongsToRequest
@@ -40,7 +44,7 @@
 // Do sends the request and returns its response, whose body must be read to its end or closed. If Do fails before Sent
 // is called, no byte of the request was sent.
 func (p *Pool) Do(ctx context.Context, address netip.AddrPort, e Exchange) (*http.Response, error) {
-	conn, err := p.acquire(ctx, address)
+	conn, err := p.acquire(ctx, address, e.Key)
 	if err != nil {
 		return nil, err
 	}
@@ -57,9 +61,9 @@
 	closeAll(idle)
 }
 
-func (p *Pool) acquire(ctx context.Context, address netip.AddrPort) (*persistentConn, error) {
+func (p *Pool) acquire(ctx context.Context, address netip.AddrPort, key string) (*persistentConn, error) {
 	for {
-		conn := p.popIdle(address)
+		conn := p.popIdle(address, key)
 		if conn == nil {
 			return p.dial(ctx, address)
 		}
@@ -70,22 +74,22 @@
 	}
 }
 
-// popIdle removes and returns the most recently used idle connection, or nil. It closes connections to another address.
-func (p *Pool) popIdle(address netip.AddrPort) *persistentConn {
+// popIdle removes and returns the most recently used idle connection that has not carried key, or nil. It closes
+// connections to another address.
+func (p *Pool) popIdle(address netip.AddrPort, key string) *persistentConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.address != address {
 		go closeAll(p.idle)
 		p.idle, p.address = nil, address
 	}
-	if len(p.idle) == 0 {
-		return nil
+	for i, conn := range slices.Backward(p.idle) {
+		if !conn.hasCarried(key) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return conn
+		}
 	}
-	last := len(p.idle) - 1
-	conn := p.idle[last]
-	p.idle[last] = nil
-	p.idle = p.idle[:last]
-	return conn
+	return nil
 }
 
 // putIdle adds a connection after a complete exchange. It closes the connection if the pool is full or has changed to
--- a/internal/backend/connection/pool_test.go
+++ b/internal/backend/connection/pool_test.go
@@ -72,6 +72,7 @@
 	request.Header.Set(headerID, id)
 	response, err := pool.Do(ctx, s.address(), connection.Exchange{
 		Request:          request,
+		Key:              id,
 		BeforeWrite:      func() {},
 		BelongsToRequest: func(_ int, header http.Header) bool { return header.Get(headerID) == id },
 	})
@@ -134,6 +135,33 @@
 	}
 }
 
+// TestRepeatedAnswersDoNotReachAResentRequest guards against an earlier refusal that a backend server writes once more on a
+// kept connection, while it runs the same request that was sent again.
+func TestRepeatedAnswersDoNotReachAResentRequest(t *testing.T) {
+	var refused atomic.Bool
+	s := startServer(t, func(conn net.Conn, n int, r *http.Request) bool {
+		own := r.Header.Get(headerID)
+		if own == "resent" && !refused.Swap(true) {
+			writeResponse(conn, own, "refused")
+			return true
+		}
+		if own == "resent" && n > 0 {
+			writeResponse(conn, own, "refused")
+		}
+		writeResponse(conn, own, "ran")
+		return true
+	})
+	pool := connection.NewPool()
+	for i, step := range []struct{ id, want string }{{"resent", "refused"}, {"other", "ran"}, {"resent", "ran"}, {"third", "ran"}} {
+		if got, err := send(t, pool, s, step.id, nil); err != nil || got != step.want {
+			t.Errorf("request %d, %s: got %q, %v", i, step.id, got, err)
+		}
+	}
+	if accepted := s.accepted.Load(); accepted != 2 {
+		t.Errorf("opened %d connections, want 2: one for each time that the request was sent", accepted)
+	}
+}
+
 // TestClosedConnectionsAreNotWrittenTo makes the server close idle connections without a Connection: close header.
 // Later requests must use a new connection.
 func TestClosedConnectionsAreNotWrittenTo(t *testing.T) {
--- a/internal/daemon/dialect/dialect.go
+++ b/internal/daemon/dialect/dialect.go
@@ -11,6 +11,8 @@
 	Forward(header http.Header) http.Header
 	// SetRequestHeaders sets the headers that describe a request to the backend server.
 	SetRequestHeaders(header http.Header, facts Facts)
+	// AnswerKey returns the ID by which ClassifyAnswer tells the answer to a request from others, or an empty string.
+	AnswerKey(facts Facts) string
 	// ClassifyAnswer classifies an answer of the backend server to the request described by facts.
 	ClassifyAnswer(status int, header http.Header, facts Facts) Verdict
 	// Answer returns a copy of the answer headers to forward to the caller.
--- a/internal/daemon/local.go
+++ b/internal/daemon/local.go
@@ -132,6 +132,7 @@
 	}
 	response, err := r.daemon.backend.connections.Do(ctx, r.announcement.Address, connection.Exchange{
 		Request: request,
+		Key:     r.daemon.dialect.AnswerKey(facts),
 		BeforeWrite: func() {
 			connected.Store(true)
 			if r.claim != nil {
--- a/internal/daemon/owndialect.go
+++ b/internal/daemon/owndialect.go
@@ -45,6 +45,9 @@
 	}
 }
 
+// AnswerKey returns nothing: the answers name no request.
+func (ownDialect) AnswerKey(dialect.Facts) string { return "" }
+
 // ClassifyAnswer accepts every answer, because backend servers of this dialect don't identify the request in their
 // answers.
 func (ownDialect) ClassifyAnswer(int, http.Header, dialect.Facts) dialect.Verdict {
