Tell a daemon that its leader lives when an answer has no tokens

The leader sent a heartbeat only if it had held all requests of a message. Daemons that asked ahead for a workspace at its limit could spend without a leader that had just answered. Change: the leader sends the heartbeat whenever no answer grants tokens or tells when there are some. Result: TestLeaderWithoutTokensIsNotSilent got no heartbeat before.

--- a/internal/control/fallbackcharge_test.go
+++ b/internal/control/fallbackcharge_test.go
@@ -4,26 +4,21 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"net/netip"
 	"testing"
 	"time"
 
 	"sapphirespread.example/configuration"
+	"sapphirespread.example/internal/control"
 	"sapphirespread.example/internal/peer"
 	"sapphirespread.example/internal/peer/peerpb"
 	"sapphirespread.example/limit"
 )
 
-// TestLeaderChargesSpendingWithoutItsGrants guards against a leader that grants the tokens that a daemon has spent
-// without it, while its answers were late: the workspace would get them twice.
-func TestLeaderChargesSpendingWithoutItsGrants(t *testing.T) {
-	const (
-		burst, spent = 100, 60
-		timeout      = 40 * time.Second
-	)
-	c, address := startSingle(t)
-	ctx, cancel := context.WithTimeout(t.Context(), timeout)
-	defer cancel()
-	// A workspace that is published after the leader's hold-off starts with its whole burst.
+// publishAfterHoldOff publishes a workspace once the instance grants tokens, so that it starts with its whole burst, and
+// returns a fake daemon that is attached.
+func publishAfterHoldOff(ctx context.Context, t *testing.T, c *control.Control, address netip.AddrPort, burst int64) *fakeDaemon {
+	t.Helper()
 	awaitLevel(ctx, t, c.OperatorsAddress().String(), func(_ int64, leads bool) bool { return leads })
 	time.Sleep(2 * limit.DefaultGrantDuration)
 	set := configuration.Set{
@@ -41,6 +36,20 @@
 			t.Fatal("the daemon could not attach")
 		}
 	}
+	return d
+}
+
+// TestLeaderChargesSpendingWithoutItsGrants guards against a leader that grants the tokens that a daemon has spent
+// without it, while its answers were late: the workspace would get them twice.
+func TestLeaderChargesSpendingWithoutItsGrants(t *testing.T) {
+	const (
+		burst, spent = 100, 60
+		timeout      = 40 * time.Second
+	)
+	c, address := startSingle(t)
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
+	defer cancel()
+	d := publishAfterHoldOff(ctx, t, c, address, burst)
 	returns := &peerpb.Returns{FallbackSpending: []*peerpb.FallbackSpending{{Workspace: "club", Total: spent, Recent: spent, PeriodUs: 1}}}
 	for range 2 {
 		if err := d.send(&peerpb.DaemonMessage{Body: &peerpb.DaemonMessage_Returns{Returns: returns}}); err != nil {
@@ -50,6 +59,38 @@
 	awaitLevel(ctx, t, c.OperatorsAddress().String(), func(level int64, _ bool) bool { return level == burst-spent })
 }
 
+// TestLeaderWithoutTokensIsNotSilent guards against daemons that take a leader for lost which has answered, but has no
+// tokens ahead: each answer that neither grants tokens nor tells when there are some must be followed by a heartbeat.
+func TestLeaderWithoutTokensIsNotSilent(t *testing.T) {
+	const timeout = 40 * time.Second
+	c, address := startSingle(t)
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
+	defer cancel()
+	d := publishAfterHoldOff(ctx, t, c, address, 1)
+	asks := &peerpb.Asks{Asks: []*peerpb.Ask{{Id: 1, Workspace: "club", Tokens: 1}}}
+	if err := d.send(&peerpb.DaemonMessage{Body: &peerpb.DaemonMessage_Asks{Asks: asks}}); err != nil {
+		t.Fatal(err)
+	}
+	defer context.AfterFunc(ctx, d.stream.Abort)()
+	for answered := false; ; {
+		message := &peerpb.ControlMessage{}
+		if err := d.stream.Receive(message); err != nil {
+			t.Fatalf("no heartbeat, answered: %t: %v", answered, err)
+		}
+		grants := message.GetGrants()
+		if grants == nil {
+			continue
+		}
+		if len(grants.GetGrants()) == 0 {
+			return
+		}
+		answered = true
+		if tokens := grants.GetGrants()[0].GetTokens(); tokens > 0 {
+			t.Fatalf("%d tokens granted ahead of half of a burst of 1", tokens)
+		}
+	}
+}
+
 // awaitLevel polls the metrics of a control instance until reached holds for the level of its only token bucket.
 func awaitLevel(ctx context.Context, t *testing.T, operators string, reached func(level int64, leads bool) bool) {
 	t.Helper()
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -192,7 +192,7 @@
 		return
 	}
 	var grants []limit.Grant
-	anyHeld := false
+	anyHeld, conclusive := false, false
 	s.leadership.ownerMu.Lock()
 	for _, request := range asks.GetAsks() {
 		grant, decided := s.leadership.owner.Request(now, s.holder, limit.GrantRequest{
@@ -203,6 +203,7 @@
 		})
 		if decided {
 			grants = append(grants, grant)
+			conclusive = conclusive || grant.Tokens > 0 || grant.RetryAfter > 0
 		}
 		anyHeld = anyHeld || !decided
 	}
@@ -211,7 +212,8 @@
 	if anyHeld {
 		s.control.signalHeldRequest()
 	}
-	if anyHeld && holdOffOver && len(grants) == 0 {
+	// Answers without tokens look like those of a leader in its hold-off, which the daemon must not take for alive.
+	if holdOffOver && !conclusive {
 		s.send(&peerpb.ControlMessage{Body: &peerpb.ControlMessage_Grants{Grants: &peerpb.Grants{}}})
 	}
 	s.sendGrants(grants)
