Move the charging of fallback spending beside its types, and bound a debt the same way on all machines

A rate too large for an integer is bounded before it is converted, as conversions of such values differ between x86-64 and arm64.

--- a/limit/account.go
+++ b/limit/account.go
@@ -298,6 +298,17 @@
 	}
 }
 
+func (a *account) collectFallbackSpending(now time.Time, spending []FallbackSpending) []FallbackSpending {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	b := &a.fallback
+	if b.total == b.reportedTotal {
+		return spending
+	}
+	b.reportedTotal = b.total
+	return append(spending, FallbackSpending{Workspace: a.workspace, Total: b.total, Recent: b.recent, Period: now.Sub(b.silentSince)})
+}
+
 func (a *account) returnAll(returns []Return) []Return {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/limit/holder.go
+++ b/limit/holder.go
@@ -168,6 +168,21 @@
 	return returns
 }
 
+// CollectFallbackSpending returns the spending without the owner that it has not been told of. Send it with each batch of
+// grant requests.
+func (h *Holder) CollectFallbackSpending(now time.Time) []FallbackSpending {
+	if !h.unreportedFallback.Swap(false) {
+		return nil
+	}
+	var spending []FallbackSpending
+	for i := range h.shards {
+		for _, a := range h.shards[i].accounts() {
+			spending = a.collectFallbackSpending(now, spending)
+		}
+	}
+	return spending
+}
+
 // ReturnAll ends and returns all grants when the daemon stops.
 func (h *Holder) ReturnAll() []Return {
 	var returns []Return
--- a/limit/owner.go
+++ b/limit/owner.go
@@ -138,6 +138,25 @@
 	tb.closeGrant(grantKey{holder, r.GrantID}, r.Tokens)
 }
 
+// ChargeFallbackSpending lowers the level by what a workspace spent at a holder without the owner's grants. Spending
+// before the end of the hold-off is not charged: the owner has not refilled the bucket for that time.
+func (o *Owner) ChargeFallbackSpending(now time.Time, holder string, f FallbackSpending) {
+	tb, known := o.buckets[f.Workspace]
+	if !known {
+		return
+	}
+	tb.advance(now)
+	previous, known := tb.fallbackTotals[holder]
+	tb.fallbackTotals[holder] = reportedFallback{total: f.Total, at: now}
+	tokens := f.Total - previous.total
+	if !known || tokens < 0 {
+		tokens = f.since(now, o.holdOffUntil)
+	}
+	if now.After(o.holdOffUntil) {
+		tb.charge(tokens)
+	}
+}
+
 // RemoveHolder removes the queued grant requests of a holder that has left. Its open grants expire.
 func (o *Owner) RemoveHolder(holder string) {
 	kept := o.queuedBuckets[:0]
--- a/limit/tokenbucket.go
+++ b/limit/tokenbucket.go
@@ -45,6 +45,12 @@
 	lastRequestAt time.Time
 }
 
+// reportedFallback is the last spending without the owner that a holder told of.
+type reportedFallback struct {
+	total int64
+	at    time.Time
+}
+
 // tokenBucket is the bucket of one workspace with its open grants and queued grant requests. The invariant is level +
 // outstanding <= burst. After the burst is lowered, it holds again once the grants of the old burst have expired.
 type tokenBucket struct {
@@ -147,6 +153,14 @@
 	tb.level = min(tb.level+unspent*nanotokensPerToken, max(0, tb.capacity()))
 }
 
+// charge lowers the level, also below zero. A debt is limited to what may be spent without the owner at most, so that
+// a wrong message can't deny tokens for long.
+func (tb *tokenBucket) charge(tokens int64) {
+	lowest := -int64(min(float64(tb.bucket.Burst)+maximumDebt.Seconds()*tb.bucket.Rate, float64(maximumBurst)))
+	tokens = min(max(tokens, 0), maximumBurst)
+	tb.level = min(tb.level, max(tb.level-tokens*nanotokensPerToken, lowest*nanotokensPerToken))
+}
+
 // recordRequest records the time of a holder's grant request and reports whether the request is new. A request that was
 // already answered is a duplicate.
 func (tb *tokenBucket) recordRequest(now time.Time, holder string, id uint64) bool {
