Show targets that work on after their clients have left during an upload

While a long body waits for a slow reader, nobody reads the client's connection, nor the stream between the daemons, so that the end of both goes unnoticed.

--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -93,3 +93,20 @@
 	c.count += n
 	return n, err
 }
+
+// CallersAddress returns the address at which the daemon of a machine serves its clients.
+func (r *Rig) CallersAddress(machine int) string {
+	return fmt.Sprintf("%s:%d", r.IP(machine), outboundPort)
+}
+
+// ReadStatus reads an answer and returns its status, or 0 if there is no whole answer.
+func ReadStatus(conn io.Reader) int {
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0
+	}
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return 0
+	}
+	return response.StatusCode
+}
