Clear the time limit of a body before the next request is read

Callers saw 499 "cancelled" for a POST whose target worked longer than the time limit for a stalled body.

Cause: a body of declared length ends together with its last bytes, so the read deadline was cleared only after the pipeline had stopped taking deadlines for that body; the read of the next head ran into it and looked like the end of the caller. The connection now clears it itself when the body ends, before it reads on.

TestLongRunAfterABodyIsNotCancelled: 499 before, 200 now.

--- a/internal/caller/pipeline/body.go
+++ b/internal/caller/pipeline/body.go
@@ -5,6 +5,7 @@
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 var errBodyClosed = errors.New("the body of a request was read after its answer")
@@ -59,9 +60,11 @@
 // Close does nothing, since the connection reads over the rest of the body.
 func (b *body) Close() error { return nil }
 
-// finish notes that the body was read to its end.
+// finish notes that the body was read to its end. A time limit for reading it does not hold for the next request, which
+// the connection reads from now on.
 func (b *body) finish() {
 	b.complete.Store(true)
+	_ = b.exchange.connection.conn.SetReadDeadline(time.Time{})
 	b.signal()
 }
 
