Keep an attempt open until the body of its answer begins

Cause: an attempt counted as answered with the head, though the head is kept until the first bytes of the body. After that neither a retry nor a refusal was possible, and the connection was aborted. The same happened at the deadline, beside the target, and to a long answer that waits for its turn on a pipelined connection.

Change: an answer counts once its body has begun or ended, on both sides; one of declared length with all its bytes is delivered without the last confirmation; one that breaks unsent is replaced by a refusal.

--- a/internal/caller/pipeline/exchange.go
+++ b/internal/caller/pipeline/exchange.go
@@ -178,6 +178,23 @@
 	return x.connection.writer.Flush()
 }
 
+// Discard drops what was written if nothing of it was sent, and reports whether it did. The handler can then answer anew.
+func (x *exchange) Discard() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.headerSent {
+		return false
+	}
+	closes, hasCloses := x.header["Connection"]
+	clear(x.header)
+	if hasCloses {
+		x.header["Connection"] = closes
+	}
+	x.status, x.waiting, x.trailers = 0, nil, nil
+	x.declared, x.written = -1, 0
+	return true
+}
+
 // EnableFullDuplex lets the handler read the body after it has begun to answer.
 func (x *exchange) EnableFullDuplex() error {
 	x.mu.Lock()
--- a/internal/caller/pipeline/pipeline_test.go
+++ b/internal/caller/pipeline/pipeline_test.go
@@ -500,3 +500,38 @@
 		})
 	}
 }
+
+// TestUnsentAnswerCanBeReplaced guards against connections that close without an answer although nothing of the broken
+// answer was sent: a handler can discard what it wrote up to then, and nothing of it is seen.
+func TestUnsentAnswerCanBeReplaced(t *testing.T) {
+	s := newServer(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", "100")
+		w.Header().Set("Stale", "yes")
+		_, _ = io.WriteString(w, "half")
+		if r.URL.Path == "/flushed" {
+			_ = http.NewResponseController(w).Flush()
+		}
+		if !w.(interface{ Discard() bool }).Discard() {
+			panic(http.ErrAbortHandler)
+		}
+		w.WriteHeader(http.StatusBadGateway)
+		_, _ = io.WriteString(w, "replaced")
+	})
+	c := s.dial(t)
+	c.send(get("/unsent") + get("/flushed"))
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	content, err := io.ReadAll(response.Body)
+	if err != nil || response.StatusCode != http.StatusBadGateway || string(content) != "replaced" || response.Header.Get("Stale") != "" {
+		t.Errorf("%d %q %v %v", response.StatusCode, content, response.Header, err)
+	}
+	response, err = http.ReadResponse(c.reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadAll(response.Body); err == nil || response.StatusCode != http.StatusOK {
+		t.Errorf("the broken answer looks complete: %d", response.StatusCode)
+	}
+}
--- a/internal/daemon/local.go
+++ b/internal/daemon/local.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -298,14 +299,21 @@
 	}
 }
 
-// answer returns the backend server's answer. It buffers an answer of up to maxBufferedBodyBytes first, so that the
-// request can be retried if the answer is cut short.
+// answer returns the backend server's answer. It buffers an answer of up to maxBufferedBodyBytes first, and awaits the
+// beginning of the body of another, so that the request can be retried if the answer is cut short before.
 func (r *localRun) answer(ctx context.Context, response *http.Response) (*answer, *attemptError) {
 	if response.StatusCode < http.StatusInternalServerError {
 		r.daemon.downstream.recordSuccess(r.call)
 	}
 	r.serverError = response.StatusCode >= http.StatusInternalServerError
 	header := r.daemon.dialect.Answer(response.Header)
+	unbuffered := response.ContentLength < 0 || response.ContentLength > maxBufferedBodyBytes || len(response.Trailer) > 0
+	if unbuffered {
+		if err := awaitBody(response); err != nil {
+			_ = response.Body.Close()
+			return nil, r.handleError(ctx, err, true)
+		}
+	}
 	body := &localBody{run: r, response: response, header: header}
 	got := &answer{
 		status:        response.StatusCode,
@@ -314,7 +322,7 @@
 		trailerNames:  trailerNames(response.Trailer),
 		body:          body,
 	}
-	if response.ContentLength < 0 || response.ContentLength > maxBufferedBodyBytes || len(got.trailerNames) > 0 {
+	if unbuffered {
 		return got, nil
 	}
 	content := make([]byte, response.ContentLength)
@@ -330,6 +338,22 @@
 	return got, nil
 }
 
+// awaitBody waits until the body of response has begun or ended.
+func awaitBody(response *http.Response) error {
+	reader := bufio.NewReader(response.Body)
+	response.Body = &readCloser{reader, response.Body}
+	if _, err := reader.Peek(1); err != nil && !errors.Is(err, io.EOF) {
+		return err
+	}
+	return nil
+}
+
+// A readCloser reads through a buffer and closes what is behind it.
+type readCloser struct {
+	io.Reader
+	io.Closer
+}
+
 func (r *localRun) finishClaimUnknown() {
 	if r.claim != nil {
 		r.claim.finishUnknown()
--- a/internal/daemon/remote.go
+++ b/internal/daemon/remote.go
@@ -45,6 +45,8 @@
 	ended       bool
 	unread      []byte
 	received    uint64
+	wantedBytes int64 // declared length of the answer, or negative
+	hasTrailers bool
 	trailer     http.Header
 	bodySent    atomic.Bool
 }
@@ -155,7 +157,7 @@
 func (r *remoteCall) decodeFirstFrame(ctx context.Context, frame *peerpb.Frame) (*answer, *attemptError) {
 	switch body := frame.GetBody().(type) {
 	case *peerpb.Frame_Answer:
-		return r.decodeAnswer(body.Answer), nil
+		return r.beginAnswer(ctx, body.Answer)
 	case *peerpb.Frame_Refusal:
 		return nil, r.decodeRefusal(body.Refusal)
 	case *peerpb.Frame_Abort:
@@ -166,14 +168,21 @@
 	}
 }
 
-func (r *remoteCall) decodeAnswer(header *peerpb.AnswerHeader) *answer {
+// beginAnswer returns the answer once its body has begun or ended. Nothing has been sent to the caller before, so that a
+// break up to then is a failed attempt.
+func (r *remoteCall) beginAnswer(ctx context.Context, header *peerpb.AnswerHeader) (*answer, *attemptError) {
+	r.wantedBytes = header.GetContentLength()
+	r.hasTrailers = len(header.GetTrailerNames()) > 0
+	if err := r.receiveBody(); err != nil {
+		return nil, refuse(r.failureKind(ctx), err.Error())
+	}
 	return &answer{
 		status:        int(header.GetStatus()),
 		header:        message.DecodeHeader(header.GetHeaders()),
 		contentLength: header.GetContentLength(),
 		trailerNames:  header.GetTrailerNames(),
 		body:          r,
-	}
+	}, nil
 }
 
 func (r *remoteCall) decodeRefusal(encoded *peerpb.Refusal) *attemptError {
@@ -189,13 +198,18 @@
 // fail ends a call that received no answer. The retry allowance that was sent with the call is not returned.
 func (r *remoteCall) fail(ctx context.Context, err error) *attemptError {
 	r.finish(callReport{}, false)
+	return refuse(r.failureKind(ctx), err.Error())
+}
+
+// failureKind returns the refusal kind of a call that failed after it was sent.
+func (r *remoteCall) failureKind(ctx context.Context) refusal.Kind {
 	switch {
 	case !time.Now().Before(r.call.deadline):
-		return refuse(refusal.DeadlineExceeded, err.Error())
+		return refusal.DeadlineExceeded
 	case ctx.Err() != nil:
-		return refuse(refusal.Cancelled, err.Error())
+		return refusal.Cancelled
 	default:
-		return refuse(refusal.TargetFailed, err.Error())
+		return refusal.TargetFailed
 	}
 }
 
@@ -214,7 +228,7 @@
 	r.done(report)
 }
 
-// Read reads the answer body and returns io.EOF only after the target confirmed that the answer is complete.
+// Read reads the answer body and returns io.EOF only if the answer is complete.
 func (r *remoteCall) Read(buffer []byte) (int, error) {
 	for len(r.unread) == 0 {
 		if r.ended {
@@ -234,6 +248,9 @@
 	frame, err := r.receive()
 	if err != nil {
 		r.finish(callReport{}, false)
+		if r.hasWholeBody() {
+			return nil
+		}
 		return refuse(refusal.AnswerCut, err.Error())
 	}
 	switch body := frame.GetBody().(type) {
@@ -254,6 +271,12 @@
 	}
 }
 
+// hasWholeBody reports whether all bytes of an answer of declared length were received, so that only the confirmation of
+// the target's daemon is missing.
+func (r *remoteCall) hasWholeBody() bool {
+	return r.wantedBytes > 0 && r.received == uint64(r.wantedBytes) && !r.hasTrailers
+}
+
 // Close ends the call and cancels it at the target if it still runs.
 func (r *remoteCall) Close() error {
 	r.finish(callReport{}, false)
--- a/internal/daemon/respond.go
+++ b/internal/daemon/respond.go
@@ -30,7 +30,14 @@
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 }
 
-// sendAnswer streams the answer to the caller. It aborts the connection if the answer is cut short.
+// A discarder is a http.ResponseWriter that can drop an answer of which nothing has been sent.
+type discarder interface {
+	// Discard reports whether the answer was dropped, so that another one can be written in its place.
+	Discard() bool
+}
+
+// sendAnswer streams the answer to the caller. If the answer is cut short, it sends a refusal in its place, or aborts the
+// connection if a part was sent already.
 func (d *Daemon) sendAnswer(w http.ResponseWriter, c *call, a *answer) {
 	defer func() { _ = a.body.Close() }()
 	header := w.Header()
@@ -45,6 +52,10 @@
 	}
 	w.WriteHeader(a.status)
 	if err := copyAnswer(w, a); err != nil {
+		if writer, ok := w.(discarder); ok && writer.Discard() {
+			d.refuseCall(w, c, c.rootID, refuse(refusal.AnswerCut, err.Error()))
+			return
+		}
 		d.counters.countRefusal(refusal.AnswerCut)
 		d.logAnswered(c, a.status, false)
 		panic(http.ErrAbortHandler)
