Record departures of backend servers in the replicated state

Cause: that a process has left was known to its daemon's memory only, and the leader tells processes of a name apart by an incarnation made of the daemon's start. The restarted daemon announced the same process as the next.

The leader refuses processes that have left and keeps draining ones draining, also after it is replaced.

--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -206,6 +206,13 @@
 	return expired
 }
 
+// startTimeOf returns the start time of the process that announced a target last, zero if unknown.
+func (l *leadership) startTimeOf(name string) time.Time {
+	l.targetMu.Lock()
+	defer l.targetMu.Unlock()
+	return l.targets.StartTime(name)
+}
+
 // quarantineDue reports whether quarantinePeriod has passed since quarantine entries were last expired, and if so
 // restarts the period.
 func (l *leadership) quarantineDue(now time.Time) bool {
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -169,6 +169,8 @@
 		go s.control.requestTrial(s, body.Trial)
 	case *peerpb.DaemonMessage_TrialEnd:
 		go s.control.endTrial(s, body.TrialEnd)
+	case *peerpb.DaemonMessage_Departure:
+		go s.control.commitDeparture(s, body.Departure)
 	}
 }
 
--- a/internal/control/sessionreports.go
+++ b/internal/control/sessionreports.go
@@ -7,6 +7,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"sapphirespread.example/internal/control/controlpb"
+	"sapphirespread.example/internal/membership/departure"
+	"sapphirespread.example/internal/membership/target"
 	"sapphirespread.example/internal/message"
 	"sapphirespread.example/internal/peer/peerpb"
 )
@@ -20,23 +22,53 @@
 // handleAnnouncement updates the target registry with the state of a daemon's backend server.
 func (s *session) handleAnnouncement(now time.Time, announcement *peerpb.Announce) {
 	l := s.leadership
+	phase := s.control.departurePhase(announcement.GetTarget(), message.DecodeStartTime(announcement.GetStartedAtUs()))
 	l.targetMu.Lock()
 	before := l.targets.Version()
-	if announcement.GetState() == stateLeft {
+	if announcement.GetState() == stateLeft || phase == departure.Left {
 		l.targets.Leave(now, announcement.GetTarget(), announcement.GetIncarnation())
 	} else if announced, err := message.DecodeTarget(announcement); err == nil {
+		if phase == departure.Draining {
+			announced.State = target.Draining
+		}
 		l.targets.Announce(now, announced)
 	} else {
 		s.control.logger.Warn().Err(err).Str("daemon", s.daemon).Msg("control: rejected invalid target announcement")
 	}
 	changed := l.targets.Version() != before
 	l.targetMu.Unlock()
+	if phase == departure.Left && announcement.GetState() != stateLeft {
+		s.control.logger.Info().Str("daemon", s.daemon).Str("target", announcement.GetTarget()).Str("state", announcement.GetState()).Msg("control: announcement of a target that has left")
+	}
 	if changed {
 		s.control.record("membership", "target "+announcement.GetTarget()+" of "+announcement.GetService()+" is "+announcement.GetState())
 		l.wakeSessions()
 	}
 }
 
+// departurePhase returns the recorded phase of the process of a target that started at startedAt.
+func (c *Control) departurePhase(name string, startedAt time.Time) (phase departure.Phase) {
+	c.store.Read(func() { phase = c.state.departures.Phase(name, startedAt) })
+	return phase
+}
+
+// commitDeparture commits that a target drains or has left, and answers once that outlives this process. A departure
+// without a start time is that of the process which announced itself last.
+func (c *Control) commitDeparture(from *session, d *peerpb.Departure) {
+	if d.GetStartedAtUs() == 0 {
+		d.StartedAtUs = message.EncodeStartTime(from.leadership.startTimeOf(d.GetTarget()))
+	}
+	if d.GetStartedAtUs() != 0 {
+		if _, err := c.proposeCommand(&controlpb.Command{Body: &controlpb.Command_Departure{Departure: d}}); err != nil {
+			c.logger.Warn().Err(err).Str("daemon", from.daemon).Str("target", d.GetTarget()).Msg("control: could not commit a departure")
+			return
+		}
+		c.record("membership", "departure of "+d.GetTarget()+" recorded")
+	}
+	answer := &peerpb.DepartureRecorded{Id: d.GetId()}
+	from.send(&peerpb.ControlMessage{Body: &peerpb.ControlMessage_DepartureRecorded{DepartureRecorded: answer}})
+}
+
 // enqueueClaim queues a claim step for the next batch.
 func (s *session) enqueueClaim(message *peerpb.DaemonMessage) {
 	queued := queuedStep{step: &controlpb.ClaimStep{}}
--- a/internal/control/sessionwrite.go
+++ b/internal/control/sessionwrite.go
@@ -112,6 +112,7 @@
 	s.leadership.targetMu.Unlock()
 	delta := &peerpb.MembershipDelta{Epoch: s.leadership.term, From: from, To: to, Whole: whole}
 	for _, change := range changes {
+		change.Target.StartedAt = time.Time{} // only the leader needs it
 		delta.Changes = append(delta.Changes, &peerpb.MembershipChange{
 			Target:  message.EncodeTarget(change.Target),
 			Removed: change.Removed,
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -10,16 +10,19 @@
 	"sapphirespread.example/claim"
 	"sapphirespread.example/configuration"
 	"sapphirespread.example/internal/control/controlpb"
+	"sapphirespread.example/internal/membership/departure"
 	"sapphirespread.example/internal/message"
 	"sapphirespread.example/internal/peer/peerpb"
 	"sapphirespread.example/quarantine"
 )
 
-// A state is the state machine of the replicated log: the published configuration, the claims and the quarantine.
+// A state is the state machine of the replicated log: the published configuration, the claims, the quarantine and the
+// backend servers that have left.
 type state struct {
 	configuration *configuration.Registry
 	claims        *claim.Registry
 	quarantine    *quarantine.Register
+	departures    *departure.Register
 }
 
 func newState() *state {
@@ -27,6 +30,7 @@
 		configuration: configuration.NewRegistry(),
 		claims:        claim.NewRegistry(),
 		quarantine:    quarantine.NewRegister(),
+		departures:    departure.NewRegister(),
 	}
 }
 
@@ -45,6 +49,8 @@
 	case *controlpb.Command_Recovery:
 		s.applyRecovery(at, body.Recovery)
 		result.Body = &controlpb.Result_Done{Done: true}
+	case *controlpb.Command_Departure:
+		result.Body = &controlpb.Result_Done{Done: s.departures.Record(at, message.DecodeDeparture(body.Departure))}
 	default:
 		done := s.applyQuarantine(at, &decoded)
 		result.Body = &controlpb.Result_Done{Done: done}
@@ -144,7 +150,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("encoding the quarantine: %w", err)
 	}
-	return proto.Marshal(&controlpb.Snapshot{Configuration: configured, Claims: claims, Quarantine: quarantined})
+	departures, err := s.departures.MarshalBinary()
+	if err != nil {
+		return nil, fmt.Errorf("encoding the departures: %w", err)
+	}
+	return proto.Marshal(&controlpb.Snapshot{Configuration: configured, Claims: claims, Quarantine: quarantined, Departures: departures})
 }
 
 // Restore replaces the state with the one in a snapshot. On error the state is unchanged.
@@ -163,6 +173,9 @@
 	if err := restored.quarantine.UnmarshalBinary(snapshot.GetQuarantine()); err != nil {
 		return fmt.Errorf("restoring the quarantine: %w", err)
 	}
+	if err := restored.departures.UnmarshalBinary(snapshot.GetDepartures()); err != nil {
+		return fmt.Errorf("restoring the departures: %w", err)
+	}
 	*s = *restored
 	return nil
 }
--- a/internal/daemon/announce.go
+++ b/internal/daemon/announce.go
@@ -67,13 +67,8 @@
 
 func checkAnnouncement(announcement Announcement) string {
 	switch {
-	case announcement.Name == "" || announcement.Service == "":
-		return "name and service are needed"
-	case len(announcement.Name) > maxNameBytes || len(announcement.Service) > maxNameBytes:
-		return "name and service are at most " + strconv.Itoa(maxNameBytes) + " bytes long"
-	// A name in another encoding could not be sent to control.
-	case !utf8.ValidString(announcement.Name) || !utf8.ValidString(announcement.Service):
-		return "name and service are UTF-8"
+	case !validName(announcement.Name) || !validName(announcement.Service):
+		return "name and service are needed, as UTF-8 of at most " + strconv.Itoa(maxNameBytes) + " bytes"
 	case !announcement.Address.IsValid() || announcement.Address.Port() == 0:
 		return "address with a port is needed"
 	case announcement.Slots < 1 || announcement.Slots > target.MaxSlots:
@@ -81,7 +76,7 @@
 	case announcement.InFlight < 0 || announcement.InFlight > maxAnnouncedCount || announcement.Connections < 0 || announcement.Connections > maxAnnouncedCount:
 		return "in-flight and connections are from 0 to " + strconv.Itoa(maxAnnouncedCount)
 	// Announcements of processes that started earlier are ignored, so a start in the future would displace the real one.
-	case announcement.StartedAt.After(time.Now().Add(maxClockDifference)):
+	case startsInFuture(announcement.StartedAt):
 		return "the start time lies in the future"
 	case announcement.Sequence > maxSequence:
 		return "sequence is at most " + strconv.Itoa(maxSequence)
@@ -94,6 +89,15 @@
 	}
 }
 
+// validName reports whether name can be sent to control.
+func validName(name string) bool {
+	return name != "" && len(name) <= maxNameBytes && utf8.ValidString(name)
+}
+
+func startsInFuture(startedAt time.Time) bool {
+	return startedAt.After(time.Now().Add(maxClockDifference))
+}
+
 // reportAnnouncement records the start of a new backend server and requests a heartbeat, which sends the announcement
 // to control.
 func (d *Daemon) reportAnnouncement(announcement Announcement, isNew bool) {
@@ -116,7 +120,11 @@
 
 // WithdrawAnnouncement withdraws the announcement of the backend server and reports whether name was announced.
 func (d *Daemon) WithdrawAnnouncement(name string) bool {
-	if !d.backend.withdraw(name) {
+	return d.withdraw(name, time.Time{})
+}
+
+func (d *Daemon) withdraw(name string, startedAt time.Time) bool {
+	if !d.backend.withdraw(name, startedAt) {
 		return false
 	}
 	d.record("membership", "backend server "+name+" left")
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sapphirespread.example/internal/backend/connection"
+	"sapphirespread.example/internal/membership/departure"
 	"sapphirespread.example/internal/membership/target"
 )
 
@@ -46,6 +47,8 @@
 	startCount      uint64
 	expiresAt       time.Time
 	drainingSince   time.Time
+	// recorded is the last departure that control has recorded.
+	recorded departure.Departure
 }
 
 func newBackend(baseIncarnation uint64, lifetime time.Duration) *backend {
@@ -93,16 +96,46 @@
 	return b.current.State == target.Draining && now.Sub(b.drainingSince) >= drainGracePeriod
 }
 
-// withdraw removes the announcement and reports whether name was announced.
-func (b *backend) withdraw(name string) bool {
+// withdraw removes the announcement of the process of name that started at startedAt, or of the announced one if that is
+// zero, and reports whether it was announced. A process with a start time can't announce itself again, also if this daemon
+// has not heard of it before.
+func (b *backend) withdraw(name string, startedAt time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.present || b.current.Name != name {
+	wasPresent := b.present
+	switch {
+	case b.current.Name == name && (startedAt.IsZero() || startedAt.Equal(b.current.StartedAt)):
+	case startedAt.After(b.current.StartedAt):
+		wasPresent = false
+		b.current = Announcement{Name: name, StartedAt: startedAt}
+	default:
 		return false
 	}
 	b.present = false
 	b.withdrawn = !b.current.StartedAt.IsZero()
-	return true
+	return wasPresent
+}
+
+// departure returns the departure of the backend server, and reports whether it leaves without control having recorded
+// that.
+func (b *backend) departure() (departure.Departure, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	d := departure.Departure{Target: b.current.Name, StartedAt: b.current.StartedAt}
+	switch {
+	case b.withdrawn:
+		d.Phase = departure.Left
+	case b.current.State == target.Draining:
+		d.Phase = departure.Draining
+	}
+	return d, d.Phase != departure.None && !d.StartedAt.IsZero() && d != b.recorded
+}
+
+// setRecorded notes that control has recorded d.
+func (b *backend) setRecorded(d departure.Departure) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.recorded = d
 }
 
 // markCrashed removes the announcement of incarnation and reports whether it was the current one.
--- a/internal/daemon/linkreceive.go
+++ b/internal/daemon/linkreceive.go
@@ -42,6 +42,8 @@
 		s.link.pending.deliver(body.SuspectsSpread.GetId(), message)
 	case *peerpb.ControlMessage_Trial:
 		s.link.pending.deliver(body.Trial.GetId(), message)
+	case *peerpb.ControlMessage_DepartureRecorded:
+		s.link.pending.deliver(body.DepartureRecorded.GetId(), message)
 	case *peerpb.ControlMessage_Quarantine:
 		s.applyQuarantine(body.Quarantine)
 	case *peerpb.ControlMessage_Redirect:
--- a/internal/daemon/linksession.go
+++ b/internal/daemon/linksession.go
@@ -240,6 +240,7 @@
 		Slots:         announcement.Slots,
 		InFlight:      announcement.InFlight,
 		Connections:   announcement.Connections,
+		StartedAt:     announcement.StartedAt,
 	})
 	encoded.State = state
 	return &peerpb.DaemonMessage{Body: &peerpb.DaemonMessage_Announce{Announce: encoded}}
--- a/internal/membership/target/registry.go
+++ b/internal/membership/target/registry.go
@@ -69,6 +69,15 @@
 	return true
 }
 
+// StartTime returns the start time of the process that announced name last, zero if unknown.
+func (r *Registry) StartTime(name string) time.Time {
+	rec, known := r.byName[name]
+	if !known {
+		return time.Time{}
+	}
+	return rec.target.StartedAt
+}
+
 // Expire removes the targets whose heartbeats have stopped and returns them. It also advertises targets whose flap
 // penalty has decayed, purges old tombstones, and ends the settling period once it is over.
 func (r *Registry) Expire(now time.Time) []Target {
--- a/internal/membership/target/target.go
+++ b/internal/membership/target/target.go
@@ -1,6 +1,9 @@
 package target
 
-import "net/netip"
+import (
+	"net/netip"
+	"time"
+)
 
 // A Target is a backend server as announced by its daemon.
 type Target struct {
@@ -14,10 +17,13 @@
 	InFlight      int
 	Connections   int
 	State         State
+	// StartedAt is the start time of the backend server, zero if unknown.
+	StartedAt time.Time
 }
 
-// equalIgnoringLoad reports whether t and other are equal apart from slots, calls in flight and connections.
+// equalIgnoringLoad reports whether t and other are equal apart from slots, calls in flight, connections and the start
+// time.
 func (t Target) equalIgnoringLoad(other Target) bool {
-	t.Slots, t.InFlight, t.Connections = other.Slots, other.InFlight, other.Connections
+	t.Slots, t.InFlight, t.Connections, t.StartedAt = other.Slots, other.InFlight, other.Connections, other.StartedAt
 	return t == other
 }
--- a/internal/message/target.go
+++ b/internal/message/target.go
@@ -23,6 +23,7 @@
 		InFlight:      int32(t.InFlight),
 		Daemon:        t.Daemon,
 		Connections:   int32(t.Connections),
+		StartedAtUs:   EncodeStartTime(t.StartedAt),
 	}
 }
 
@@ -53,6 +54,7 @@
 		Slots:         int(encoded.GetSlots()),
 		InFlight:      int(encoded.GetInFlight()),
 		Connections:   int(encoded.GetConnections()),
+		StartedAt:     DecodeStartTime(encoded.GetStartedAtUs()),
 		State:         target.State(encoded.GetState()),
 	}, nil
 }
