Hold spending in a silence to the rate that the owner told

Cause: a holder goes on at the rate that it measured of its own spending. Right after a burst that is the speed of the burst, corrected upwards for a measurement that has just begun, for up to two seconds.

Change: with each answer the owner tells a holder its part of the tokens granted lately, of the whole rate; the lower of this and the holder's own rate counts. The parts of all holders don't exceed the rate.

Evidence: TestFirstBurstSetsNoRateForASilence failed before with 3,447 to 8,368 tokens in five seconds, 3,399 allowed, and passes now, as do the tests of workspaces within their limit.

--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -233,6 +233,7 @@
 			Tokens:       grant.Tokens,
 			DurationUs:   grant.Duration.Microseconds(),
 			RetryAfterUs: grant.RetryAfter.Microseconds(),
+			FallbackRate: grant.FallbackRate,
 		})
 	}
 	s.send(&peerpb.ControlMessage{Body: &peerpb.ControlMessage_Grants{Grants: message}})
--- a/internal/daemon/linkgrants.go
+++ b/internal/daemon/linkgrants.go
@@ -70,6 +70,8 @@
 			Tokens:     encoded.GetTokens(),
 			Duration:   time.Duration(encoded.GetDurationUs()) * time.Microsecond,
 			RetryAfter: time.Duration(encoded.GetRetryAfterUs()) * time.Microsecond,
+
+			FallbackRate: encoded.GetFallbackRate(),
 		}
 		hasTokens := d.holder.Accept(now, grant)
 		if hasTokens {
--- a/limit/account.go
+++ b/limit/account.go
@@ -203,6 +203,9 @@
 	if !known {
 		return false
 	}
+	if g.FallbackRate > 0 {
+		a.fallback.maximumRate = g.FallbackRate
+	}
 	if g.Tokens <= 0 {
 		a.denied(now, g.RetryAfter)
 		return false
--- a/limit/fallbackbucket.go
+++ b/limit/fallbackbucket.go
@@ -27,6 +27,8 @@
 	weight     float64 // total weight of the observations in rate, from 0 to 1
 	tokens     float64
 	refilledAt time.Time
+	// maximumRate is the rate that the owner told last, or 0 if it has told none.
+	maximumRate float64
 
 	silentSince   time.Time // when the last silence began
 	recent        int64     // tokens spent in that silence
@@ -41,12 +43,17 @@
 	b.weight += weight * (1 - b.weight)
 }
 
-// unbiasedRate returns the average rate, corrected for the bias toward zero of the first seconds.
-func (b *fallbackBucket) unbiasedRate() float64 {
+// refillRate returns the average rate, corrected for the bias toward zero of the first seconds, up to the rate that the
+// owner told: what was spent of a burst is no rate to go on with.
+func (b *fallbackBucket) refillRate() float64 {
 	if b.weight == 0 {
 		return 0
 	}
-	return b.rate / b.weight
+	rate := b.rate / b.weight
+	if b.maximumRate > 0 {
+		rate = min(rate, b.maximumRate)
+	}
+	return rate
 }
 
 // spend takes tokens that have accumulated since the owner became silent, all or none. The first token of each silence is
@@ -58,12 +65,12 @@
 		b.refilledAt, b.silentSince, b.recent = since, since, 0
 		b.tokens = 1
 		if pressed {
-			b.tokens = min(1, initialTokens(since)+fallbackHeadStart*b.unbiasedRate())
+			b.tokens = min(1, initialTokens(since)+fallbackHeadStart*b.refillRate())
 		}
 	}
 	elapsed := now.Sub(b.refilledAt).Seconds()
 	b.refilledAt = now
-	rate := b.unbiasedRate()
+	rate := b.refillRate()
 	b.tokens = min(b.tokens+rate*elapsed, 1+fallbackBurstSeconds*rate)
 	if b.tokens < float64(tokens) {
 		return false
@@ -94,7 +101,7 @@
 	defer a.mu.Unlock()
 	event := FallbackEvent{
 		Workspace: a.workspace, Silence: silence, Disconnected: disconnected,
-		Rate: a.fallback.unbiasedRate(), Pressed: h.isPressed(a.workspace), Spent: a.fallback.total,
+		Rate: a.fallback.refillRate(), Pressed: h.isPressed(a.workspace), Spent: a.fallback.total,
 	}
 	if !a.fallback.spend(now, tokens, silence, event.Pressed) {
 		return false
--- a/limit/owner.go
+++ b/limit/owner.go
@@ -82,7 +82,7 @@
 		return o.grant(now, tb, newQueuedRequest(now, holder, request), tb.grantSize(request)), true
 	}
 	if wait := o.expectedWait(now, tb, len(tb.queue)); wait > o.maximumQueueTime {
-		return o.deny(tb, newQueuedRequest(now, holder, request), wait), true
+		return o.deny(now, tb, newQueuedRequest(now, holder, request), wait), true
 	}
 	o.enqueue(tb, newQueuedRequest(now, holder, request))
 	return Grant{}, false
@@ -135,7 +135,7 @@
 		return
 	}
 	tb.advance(now)
-	tb.closeGrant(grantKey{holder, r.GrantID}, r.Tokens)
+	tb.returnGrant(now, grantKey{holder, r.GrantID}, r.Tokens)
 }
 
 // ChargeFallbackSpending lowers the level by what a workspace spent at a holder without the owner's grants. Spending
@@ -221,7 +221,7 @@
 			break
 		}
 		tb.dequeue()
-		answers = append(answers, HolderGrant{first.holder, o.deny(tb, first, o.expectedWait(now, tb, len(tb.queue)))})
+		answers = append(answers, HolderGrant{first.holder, o.deny(now, tb, first, o.expectedWait(now, tb, len(tb.queue)))})
 	}
 	return answers
 }
@@ -238,19 +238,21 @@
 	if now.Before(o.holdOffUntil) {
 		tokens = 0
 	}
-	if tokens == 0 {
-		return Grant{ID: queued.request.ID, Workspace: tb.workspace}
+	granted := Grant{ID: queued.request.ID, Workspace: tb.workspace}
+	if tokens > 0 {
+		expires := now.Add(time.Duration(float64(o.grantDuration) * (1 + o.margin)))
+		tb.addGrant(now, grantKey{queued.holder, queued.request.ID}, tokens, expires)
+		queuedFor := time.Duration(float64(now.Sub(queued.receivedAt)) * (1 - o.margin))
+		granted.Tokens, granted.Duration = tokens, o.grantDuration+queuedFor
 	}
-	expires := now.Add(time.Duration(float64(o.grantDuration) * (1 + o.margin)))
-	tb.addGrant(grantKey{queued.holder, queued.request.ID}, tokens, expires)
-	queuedFor := time.Duration(float64(now.Sub(queued.receivedAt)) * (1 - o.margin))
-	return Grant{ID: queued.request.ID, Workspace: tb.workspace, Tokens: tokens, Duration: o.grantDuration + queuedFor}
+	granted.FallbackRate = tb.fallbackRate(now, queued.holder)
+	return granted
 }
 
-func (o *Owner) deny(tb *tokenBucket, queued queuedRequest, wait time.Duration) Grant {
+func (o *Owner) deny(now time.Time, tb *tokenBucket, queued queuedRequest, wait time.Duration) Grant {
 	tb.recordAnswer(queued.holder, queued.request.ID)
 	wait = min(max(wait, minimumRetryAfter), maximumRetryAfter)
-	return Grant{ID: queued.request.ID, Workspace: tb.workspace, RetryAfter: wait}
+	return Grant{ID: queued.request.ID, Workspace: tb.workspace, RetryAfter: wait, FallbackRate: tb.fallbackRate(now, queued.holder)}
 }
 
 func (o *Owner) expectedWait(now time.Time, tb *tokenBucket, ahead int) time.Duration {
--- a/limit/tokenbucket.go
+++ b/limit/tokenbucket.go
@@ -63,6 +63,7 @@
 	grantsByExpiry   []issuedGrant // in order of expiry; closed grants stay until they expire
 	openGrants       map[grantKey]int64
 	holders          map[string]holderRecord
+	shares           grantedShares
 	fallbackTotals   map[string]reportedFallback // by holder
 	activeHolders    int
 	holdersCountedAt time.Time
@@ -78,6 +79,7 @@
 		refilledAt: holdOffUntil,
 		openGrants: make(map[grantKey]int64),
 		holders:    make(map[string]holderRecord),
+		shares:     newGrantedShares(),
 
 		fallbackTotals: make(map[string]reportedFallback),
 	}
@@ -94,7 +96,7 @@
 	for expired < len(tb.grantsByExpiry) && !tb.grantsByExpiry[expired].expires.After(now) {
 		g := tb.grantsByExpiry[expired]
 		tb.refill(g.expires)
-		tb.closeGrant(g.key, 0)
+		tb.expireGrant(g.key)
 		expired++
 	}
 	tb.grantsByExpiry = tb.grantsByExpiry[expired:]
@@ -134,22 +136,33 @@
 	tb.level = min(tb.level, max(0, tb.capacity()))
 }
 
-func (tb *tokenBucket) addGrant(key grantKey, tokens int64, expires time.Time) {
+func (tb *tokenBucket) addGrant(now time.Time, key grantKey, tokens int64, expires time.Time) {
+	tb.shares.add(now, key.holder, tokens)
 	tb.level -= tokens * nanotokensPerToken
 	tb.outstanding += tokens
 	tb.openGrants[key] = tokens
 	tb.grantsByExpiry = append(tb.grantsByExpiry, issuedGrant{key, tokens, expires})
 }
 
-// closeGrant ends an open grant and adds its unspent tokens to the level.
-func (tb *tokenBucket) closeGrant(key grantKey, unspent int64) {
+// expireGrant ends an open grant that was not returned. Its tokens count as spent.
+func (tb *tokenBucket) expireGrant(key grantKey) {
 	tokens, open := tb.openGrants[key]
 	if !open {
 		return
 	}
 	delete(tb.openGrants, key)
 	tb.outstanding -= tokens
+}
+
+// returnGrant ends an open grant and adds its unspent tokens to the level.
+func (tb *tokenBucket) returnGrant(now time.Time, key grantKey, unspent int64) {
+	tokens, open := tb.openGrants[key]
+	if !open {
+		return
+	}
+	tb.expireGrant(key)
 	unspent = max(0, min(unspent, tokens))
+	tb.shares.add(now, key.holder, -unspent)
 	tb.level = min(tb.level+unspent*nanotokensPerToken, max(0, tb.capacity()))
 }
 
@@ -197,9 +210,15 @@
 			delete(tb.holders, holder)
 		}
 	}
+	tb.shares.forget(now)
 	maps.DeleteFunc(tb.fallbackTotals, func(_ string, reported reportedFallback) bool { return now.Sub(reported.at) >= holderRetention })
 }
 
+// fallbackRate returns the rate at which a holder may spend while the owner is silent.
+func (tb *tokenBucket) fallbackRate(now time.Time, holder string) float64 {
+	return tb.shares.fallbackRate(now, holder, tb.bucket.Rate)
+}
+
 // grantSize returns the number of tokens for the first queued grant request: a fair share for its waiting requests and,
 // if no other request is queued, a share of the rest for its prefetch.
 func (tb *tokenBucket) grantSize(request GrantRequest) int64 {
