Show that heads cut anywhere are no answers, and that disks full in turn end nothing

A target that stops in the middle of an answer's head: each prefix of five heads, alone, on a kept connection and after an informational answer, is an error.

--- a/internal/backend/connection/pool_test.go
+++ b/internal/backend/connection/pool_test.go
@@ -198,6 +198,45 @@
 	}
 }
 
+// TestHeadsThatStopAnywhereAreNoAnswers guards against a 200 with an empty or short body for a backend server that stops in the
+// middle of a head and closes. Each prefix of the heads is sent, alone, as a second answer on the connection, and after an
+// informational response.
+func TestHeadsThatStopAnywhereAreNoAnswers(t *testing.T) {
+	heads := []string{
+		"HTTP/1.1 200 OK\r\nId: x\r\nContent-Length: 10\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nId: x\r\nTransfer-Encoding: chunked\r\nTrailer: T\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nId: x\r\nConnection: close\r\n\r\n",
+		"HTTP/1.0 200 OK\nId: x\nFolded: a\n b\n\n",
+		"HTTP/1.1 204 No Content\r\nId: x\r\n\r\n",
+	}
+	for _, before := range []string{"", "an answer", "a hint"} {
+		for _, head := range heads {
+			for cut := range len(head) {
+				s := startServer(t, func(conn net.Conn, n int, _ *http.Request) bool {
+					switch {
+					case before == "an answer" && n == 0:
+						writeResponse(conn, "first", "own")
+						return true
+					case before == "a hint":
+						_, _ = io.WriteString(conn, "HTTP/1.1 103 Early Hints\r\nId: x\r\n\r\n")
+					}
+					_, _ = io.WriteString(conn, head[:cut])
+					return false
+				})
+				pool := connection.NewPool()
+				if before == "an answer" {
+					if got, err := send(t, pool, s, "first", nil); err != nil || got != "own" {
+						t.Fatalf("first answer: %q %v", got, err)
+					}
+				}
+				if got, err := send(t, pool, s, "x", nil); err == nil {
+					t.Errorf("after %q, %q was accepted as the complete answer %q", before, head[:cut], got)
+				}
+			}
+		}
+	}
+}
+
 // TestEarlyAnswersEndTheConnection responds before a long request body is sent. The connection must not be reused,
 // because the rest of the body could be read as the next request.
 func TestEarlyAnswersEndTheConnection(t *testing.T) {
--- a/internal/store/failure_test.go
+++ b/internal/store/failure_test.go
@@ -388,3 +388,104 @@
 		c.stop()
 	})
 }
+
+// TestClusterTakesChangesAfterDisksWereFullInTurn guards against changes that are refused or stay unanswered long after each
+// disk was full for some seconds, one after another: commands are taken while one disk is full and right after the last.
+func TestClusterTakesChangesAfterDisksWereFullInTurn(t *testing.T) {
+	const (
+		fullFor = 4500 * time.Millisecond
+		pause   = 500 * time.Millisecond
+		rounds  = 2
+		period  = 100 * time.Millisecond // of the commands
+		// bound is the time that the first users' platform leaves for an acknowledgement.
+		bound = 4 * time.Second
+	)
+	cases := map[string]struct {
+		instances, voters int
+		snapshotBytes     int64
+		leads             bool // whether each full disk is that of the instance that leads
+	}{
+		"three, in order":                  {3, 0, 16 << 20, false},
+		"three, the leader's":              {3, 0, 16 << 20, true},
+		"three, with snapshots":            {3, 0, 64, false},
+		"three, the leader's, snapshots":   {3, 0, 64, true},
+		"open of five, in order":           {5, 3, 16 << 20, false},
+		"open of five, the leader's":       {5, 3, 16 << 20, true},
+		"open of five, with snapshots":     {5, 3, 64, false},
+		"open, the leader's, snapshots":    {5, 3, 64, true},
+		"open of three, with snapshots":    {3, 3, 64, false},
+		"all of five vote, the leader's":   {5, 5, 64, true},
+		"all of five vote, with snapshots": {5, 5, 64, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newClusterOfVoters(t, c.instances, c.voters, store.WithSnapshotBytes(c.snapshotBytes))
+				defer cl.stop()
+				cl.proposeNumbered(nil, 1)
+				var folders []*failingFolder
+				for _, inst := range cl.instances {
+					folders = append(folders, cl.restartOnFailingFolder(inst))
+					time.Sleep(pause)
+				}
+				taken := 1
+				// taking proposes commands for a while and checks that none waits longer than bound.
+				taking := func(length time.Duration) {
+					for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(period) {
+						if !cl.takes("d"+strconv.Itoa(taken), bound) {
+							t.Fatalf("command %d was not taken within %s: %s", taken, bound, cl.describe())
+						}
+						taken++
+					}
+				}
+				for i := range rounds * c.instances {
+					at := i % c.instances
+					if c.leads {
+						at = slices.Index(cl.instances, cl.leader())
+					}
+					folders[at].noSpace.Store(true)
+					taking(fullFor)
+					folders[at].noSpace.Store(false)
+					taking(pause)
+				}
+				taking(5 * time.Second)
+				for _, inst := range cl.instances {
+					select {
+					case <-inst.Done():
+						t.Errorf("%s has stopped: %v", inst.name, inst.Err())
+					default:
+					}
+					cl.waitFor("all commands at "+inst.name, func() bool {
+						count := 0
+						inst.Read(func() { count = len(inst.machine.commands) })
+						return count >= taken
+					})
+				}
+			})
+		})
+	}
+}
+
+// takes proposes a command to whichever instance leads until it is taken, and reports whether that was within bound.
+func (c *cluster) takes(command string, bound time.Duration) bool {
+	for began := time.Now(); time.Since(began) < bound; time.Sleep(20 * time.Millisecond) {
+		for _, inst := range c.instances {
+			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+			_, err := inst.Propose(ctx, []byte(command))
+			cancel()
+			if err == nil {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// describe returns the status of each instance.
+func (c *cluster) describe() string {
+	var text strings.Builder
+	for _, inst := range c.instances {
+		_, _ = fmt.Fprintf(&text, "\n%s: %+v", inst.name, inst.Status())
+	}
+	return text.String()
+}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -54,11 +54,18 @@
 	members   []store.Member
 	opts      []store.Option
 	instances []*instance
+	voters    int
 }
 
 func newCluster(t *testing.T, size int, opts ...store.Option) *cluster {
 	t.Helper()
-	c := &cluster{t: t, network: newNetwork(), opts: opts}
+	return newClusterOfVoters(t, size, 0, opts...)
+}
+
+// newClusterOfVoters starts a cluster with an open membership of voters, or one that only operators change if voters is 0.
+func newClusterOfVoters(t *testing.T, size, voters int, opts ...store.Option) *cluster {
+	t.Helper()
+	c := &cluster{t: t, network: newNetwork(), opts: opts, voters: voters}
 	for i := range size {
 		name := string(rune('a' + i))
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(7000+i))
@@ -76,7 +83,7 @@
 	c.t.Helper()
 	inst.machine = &recordingMachine{}
 	settings := store.Settings{
-		Name: inst.name, DataFolder: inst.folder, Members: c.members, Address: inst.address, Join: join,
+		Name: inst.name, DataFolder: inst.folder, Members: c.members, Address: inst.address, Join: join, Voters: c.voters,
 		ElectionTimeout: 300 * time.Millisecond, Heartbeat: 50 * time.Millisecond,
 	}
 	opened, err := store.OpenWithTransport(settings, inst.machine, testTransport{network: c.network, address: inst.address}, append(slices.Clone(c.opts), store.WithClock(time.Now))...)
