Tell an answer cut in its body from a caller that left

Cause: the reason of the failure was looked for after the end of the run had cancelled the run's context, which means that the caller has left.

Change: the body is read before the run ends; a failure takes the path of one before the head.

--- a/internal/daemon/local.go
+++ b/internal/daemon/local.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -326,12 +327,14 @@
 		return got, nil
 	}
 	content := make([]byte, response.ContentLength)
-	if _, err := io.ReadFull(body, content); err != nil {
-		kind := r.failureKind(ctx)
-		_ = body.Close()
-		return nil, refuse(kind, "reading the answer: "+err.Error())
+	if _, err := io.ReadFull(response.Body, content); err != nil {
+		_ = response.Body.Close()
+		return nil, r.handleError(ctx, fmt.Errorf("reading the answer: %w", err), true)
 	}
-	_, _ = body.Read(nil)
+	if r.claim != nil {
+		r.claim.appendBody(content)
+	}
+	_, _ = response.Body.Read(nil)
 	body.end(true)
 	_ = response.Body.Close()
 	got.body = storedBody{bytes.NewReader(content)}
