Let the cluster form before disks are filled in turn

The test failed in 2 of 5 runs: "command 1 was not taken within 4s". The status that it printed shows two voters and one member that is still returning: the first disk was filled while the cluster was forming, when two of two had to vote. The test now waits until all members vote, as those of other disk faults do.

--- a/internal/store/failure_test.go
+++ b/internal/store/failure_test.go
@@ -1,6 +1,7 @@
 package store_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -425,9 +426,10 @@
 				cl.proposeNumbered(nil, 1)
 				var folders []*failingFolder
 				for _, inst := range cl.instances {
+					cl.waitForVoterCount(cmp.Or(c.voters, c.instances))
 					folders = append(folders, cl.restartOnFailingFolder(inst))
-					time.Sleep(pause)
 				}
+				cl.waitForVoterCount(cmp.Or(c.voters, c.instances))
 				taken := 1
 				// taking proposes commands for a while and checks that none waits longer than bound.
 				taking := func(length time.Duration) {
@@ -466,6 +468,20 @@
 	}
 }
 
+// waitForVoterCount waits until so many members vote in the view of the leader, as after the formation.
+func (c *cluster) waitForVoterCount(count int) {
+	c.t.Helper()
+	c.waitFor("the members to vote", func() bool {
+		voters := 0
+		for _, member := range c.leader().Status().Members {
+			if member.Role == replica.Voter {
+				voters++
+			}
+		}
+		return voters >= count
+	})
+}
+
 // takes proposes a command to whichever instance leads until it is taken, and reports whether that was within bound.
 func (c *cluster) takes(command string, bound time.Duration) bool {
 	for began := time.Now(); time.Since(began) < bound; time.Sleep(20 * time.Millisecond) {
