--- a/internal/daemon/respond.go
+++ b/internal/daemon/respond.go
@@ -30,7 +30,7 @@
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 }
 
-// A discarder is a http.ResponseWriter that can drop an answer of which nothing has been sent.
+// A discarder is an http.ResponseWriter that can drop an answer of which nothing has been sent.
 type discarder interface {
 	// Discard reports whether the answer was dropped, so that another one can be written in its place.
 	Discard() bool
