Tell holders the share of their rate for a silence, not a rate of each

Each holder took the lower one of two noisy rates.

Change: the owner tells one figure, the share of the workspace's rate in what all holders were granted lately; a holder goes on at that share of its own rate. A workspace within its rate is not affected. A rate is measured over half a second at least, on both sides. The state for each holder at the owner is gone.

Evidence: TestFirstBurstSetsNoRateForASilence passes as before the change, with all tests of limit.

--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -228,12 +228,12 @@
 	message := &peerpb.Grants{}
 	for _, grant := range grants {
 		message.Grants = append(message.Grants, &peerpb.Grant{
-			Id:           grant.ID,
-			Workspace:    grant.Workspace,
-			Tokens:       grant.Tokens,
-			DurationUs:   grant.Duration.Microseconds(),
-			RetryAfterUs: grant.RetryAfter.Microseconds(),
-			FallbackRate: grant.FallbackRate,
+			Id:            grant.ID,
+			Workspace:     grant.Workspace,
+			Tokens:        grant.Tokens,
+			DurationUs:    grant.Duration.Microseconds(),
+			RetryAfterUs:  grant.RetryAfter.Microseconds(),
+			FallbackShare: grant.FallbackShare,
 		})
 	}
 	s.send(&peerpb.ControlMessage{Body: &peerpb.ControlMessage_Grants{Grants: message}})
--- a/internal/daemon/linkgrants.go
+++ b/internal/daemon/linkgrants.go
@@ -71,7 +71,7 @@
 			Duration:   time.Duration(encoded.GetDurationUs()) * time.Microsecond,
 			RetryAfter: time.Duration(encoded.GetRetryAfterUs()) * time.Microsecond,
 
-			FallbackRate: encoded.GetFallbackRate(),
+			FallbackShare: encoded.GetFallbackShare(),
 		}
 		hasTokens := d.holder.Accept(now, grant)
 		if hasTokens {
--- a/limit/account.go
+++ b/limit/account.go
@@ -57,7 +57,7 @@
 }
 
 func newAccount(now time.Time, workspace string) *account {
-	return &account{workspace: workspace, tickOrigin: now, rateUpdatedAt: now, lastUsedAt: now}
+	return &account{workspace: workspace, tickOrigin: now, rateUpdatedAt: now, lastUsedAt: now, fallback: newFallbackBucket()}
 }
 
 func (a *account) spend(now time.Time, tokens int64) bool {
@@ -203,8 +203,8 @@
 	if !known {
 		return false
 	}
-	if g.FallbackRate > 0 {
-		a.fallback.maximumRate = g.FallbackRate
+	if g.FallbackShare > 0 {
+		a.fallback.share = min(g.FallbackShare, 1)
 	}
 	if g.Tokens <= 0 {
 		a.denied(now, g.RetryAfter)
--- a/limit/fallbackbucket.go
+++ b/limit/fallbackbucket.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,6 +21,9 @@
 	fallbackRateTimeConstant = 2 * time.Second
 )
 
+// minimumWeight is the weight of observations over minimumMeasuredTime.
+var minimumWeight = -math.Expm1(-float64(minimumMeasuredTime) / float64(fallbackRateTimeConstant))
+
 // fallbackBucket is a local token bucket for spending while the owner is silent, refilled at the recently observed
 // rate.
 type fallbackBucket struct {
@@ -27,8 +31,8 @@
 	weight     float64 // total weight of the observations in rate, from 0 to 1
 	tokens     float64
 	refilledAt time.Time
-	// maximumRate is the rate that the owner told last, or 0 if it has told none.
-	maximumRate float64
+	// share is the share of the rate that the owner told last, or 1 if it has told none.
+	share float64
 
 	silentSince   time.Time // when the last silence began
 	recent        int64     // tokens spent in that silence
@@ -36,6 +40,8 @@
 	reportedTotal int64     // total when it was last collected for the owner
 }
 
+func newFallbackBucket() fallbackBucket { return fallbackBucket{share: 1} }
+
 // updateRate adds an observed spending rate, in tokens per second, to the moving average.
 func (b *fallbackBucket) updateRate(elapsed time.Duration, observed float64) {
 	weight := float64(elapsed) / float64(elapsed+fallbackRateTimeConstant)
@@ -43,17 +49,13 @@
 	b.weight += weight * (1 - b.weight)
 }
 
-// refillRate returns the average rate, corrected for the bias toward zero of the first seconds, up to the rate that the
-// owner told: what was spent of a burst is no rate to go on with.
+// refillRate returns the average rate, corrected for the bias toward zero of the first seconds, as far as the owner lets the
+// workspace go on: what was spent of a burst is no rate to go on with.
 func (b *fallbackBucket) refillRate() float64 {
 	if b.weight == 0 {
 		return 0
 	}
-	rate := b.rate / b.weight
-	if b.maximumRate > 0 {
-		rate = min(rate, b.maximumRate)
-	}
-	return rate
+	return b.share * b.rate / max(b.weight, minimumWeight)
 }
 
 // spend takes tokens that have accumulated since the owner became silent, all or none. The first token of each silence is
--- a/limit/grant.go
+++ b/limit/grant.go
@@ -11,9 +11,9 @@
 	Duration time.Duration
 	// RetryAfter is set if requests are waiting and the owner can't grant tokens for them in time.
 	RetryAfter time.Duration
-	// FallbackRate is the most that the holder may spend in a second while the owner is silent. It is 0 if the owner doesn't
-	// tell it.
-	FallbackRate float64
+	// FallbackShare is the share of its recent rate at which the holder may spend while the owner is silent: what all
+	// holders spent lately may be more than the rate. It is 0 if the owner doesn't tell it.
+	FallbackShare float64
 }
 
 // A HolderGrant is a grant addressed to a holder.
--- a/limit/owner.go
+++ b/limit/owner.go
@@ -245,14 +245,14 @@
 		queuedFor := time.Duration(float64(now.Sub(queued.receivedAt)) * (1 - o.margin))
 		granted.Tokens, granted.Duration = tokens, o.grantDuration+queuedFor
 	}
-	granted.FallbackRate = tb.fallbackRate(now, queued.holder)
+	granted.FallbackShare = tb.fallbackShare(now)
 	return granted
 }
 
 func (o *Owner) deny(now time.Time, tb *tokenBucket, queued queuedRequest, wait time.Duration) Grant {
 	tb.recordAnswer(queued.holder, queued.request.ID)
 	wait = min(max(wait, minimumRetryAfter), maximumRetryAfter)
-	return Grant{ID: queued.request.ID, Workspace: tb.workspace, RetryAfter: wait, FallbackRate: tb.fallbackRate(now, queued.holder)}
+	return Grant{ID: queued.request.ID, Workspace: tb.workspace, RetryAfter: wait, FallbackShare: tb.fallbackShare(now)}
 }
 
 func (o *Owner) expectedWait(now time.Time, tb *tokenBucket, ahead int) time.Duration {
--- a/limit/tokenbucket.go
+++ b/limit/tokenbucket.go
@@ -63,7 +63,7 @@
 	grantsByExpiry   []issuedGrant // in order of expiry; closed grants stay until they expire
 	openGrants       map[grantKey]int64
 	holders          map[string]holderRecord
-	shares           grantedShares
+	recent           recentUse
 	fallbackTotals   map[string]reportedFallback // by holder
 	activeHolders    int
 	holdersCountedAt time.Time
@@ -79,7 +79,6 @@
 		refilledAt: holdOffUntil,
 		openGrants: make(map[grantKey]int64),
 		holders:    make(map[string]holderRecord),
-		shares:     newGrantedShares(),
 
 		fallbackTotals: make(map[string]reportedFallback),
 	}
@@ -137,7 +136,7 @@
 }
 
 func (tb *tokenBucket) addGrant(now time.Time, key grantKey, tokens int64, expires time.Time) {
-	tb.shares.add(now, key.holder, tokens)
+	tb.recent.add(now, tokens)
 	tb.level -= tokens * nanotokensPerToken
 	tb.outstanding += tokens
 	tb.openGrants[key] = tokens
@@ -162,7 +161,7 @@
 	}
 	tb.expireGrant(key)
 	unspent = max(0, min(unspent, tokens))
-	tb.shares.add(now, key.holder, -unspent)
+	tb.recent.add(now, -unspent)
 	tb.level = min(tb.level+unspent*nanotokensPerToken, max(0, tb.capacity()))
 }
 
@@ -210,13 +209,12 @@
 			delete(tb.holders, holder)
 		}
 	}
-	tb.shares.forget(now)
 	maps.DeleteFunc(tb.fallbackTotals, func(_ string, reported reportedFallback) bool { return now.Sub(reported.at) >= holderRetention })
 }
 
-// fallbackRate returns the rate at which a holder may spend while the owner is silent.
-func (tb *tokenBucket) fallbackRate(now time.Time, holder string) float64 {
-	return tb.shares.fallbackRate(now, holder, tb.bucket.Rate)
+// fallbackShare returns the share of its recent rate at which a holder may spend while the owner is silent.
+func (tb *tokenBucket) fallbackShare(now time.Time) float64 {
+	return tb.recent.shareWithin(now, tb.bucket.Rate)
 }
 
 // grantSize returns the number of tokens for the first queued grant request: a fair share for its waiting requests and,
