--- a/internal/backend/connection/persistentconn.go
+++ b/internal/backend/connection/persistentconn.go
@@ -130,6 +130,9 @@
 	remaining := int64(maxSkippedBytes)
 	for range maxSkippedResponses {
 		c.headerLimit.remaining = maxResponseHeaderBytes
+		if err := checkStatus(c.reader); err != nil {
+			return nil, err
+		}
 		response, err := http.ReadResponse(c.reader, e.Request)
 		if err != nil {
 			return nil, fmt.Errorf("reading an answer: %w", err)
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -40,6 +40,8 @@
 	domain   string         // failure domain of new daemons
 	relayed  bool           // whether new daemons advertise the address of a relay
 	relay    *relay         // relay of the daemon that was started last
+	// advertised is the address that new daemons advertise in place of their own, if it is valid.
+	advertised netip.AddrPort
 
 	cancelControl context.CancelFunc
 	controlEnded  chan error
@@ -164,6 +166,9 @@
 		f.relay = newRelay(f.t, addressOf(listeners.Peers))
 		s.PeerAdvertise = addressOf(f.relay.listener)
 	}
+	if f.advertised.IsValid() {
+		s.PeerAdvertise = f.advertised
+	}
 	d := daemon.New(s, daemon.WithListeners(listeners), daemon.WithLogger(zerolog.New(f.logs)))
 	stop, ended := f.run(d.Run)
 	f.eventually(name+" is ready", func() bool {
--- a/internal/daemon/remote.go
+++ b/internal/daemon/remote.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"sapphirespread.example/internal/backend/connection"
 	"sapphirespread.example/internal/membership/target"
 	"sapphirespread.example/internal/message"
 	"sapphirespread.example/internal/peer"
@@ -140,7 +141,15 @@
 	return r.stream.Send(&peerpb.Frame{CallId: r.call.id, Body: data})
 }
 
-var errForeignFrame = errors.New("frame of another call")
+var (
+	errForeignFrame = errors.New("frame of another call")
+	errNoStatus     = errors.New("answer without a final status")
+)
+
+// isFinalStatus reports whether status is one that ends an HTTP exchange.
+func isFinalStatus(status int32) bool {
+	return status >= http.StatusOK && status <= connection.MaxStatus
+}
 
 func (r *remoteCall) receive() (*peerpb.Frame, error) {
 	frame := &peerpb.Frame{}
@@ -171,6 +180,9 @@
 // beginAnswer returns the answer once its body has begun or ended. Nothing has been sent to the caller before, so that a
 // break up to then is a failed attempt.
 func (r *remoteCall) beginAnswer(ctx context.Context, header *peerpb.AnswerHeader) (*answer, *attemptError) {
+	if !isFinalStatus(header.GetStatus()) {
+		return nil, r.fail(ctx, errNoStatus)
+	}
 	r.wantedBytes = header.GetContentLength()
 	r.hasTrailers = len(header.GetTrailerNames()) > 0
 	if err := r.receiveBody(); err != nil {
