--- a/configuration/load.go
+++ b/configuration/load.go
@@ -14,6 +14,12 @@
 // Load reads a set from the given TOML files and from all TOML files below the given folders, and checks it.
 // The error, if any, is of type Problems and lists every problem with its file and line.
 func Load(fsys fs.FS, paths ...string) (Set, error) {
+	set, _, err := LoadReviewed(fsys, func(Set) Problems { return nil }, paths...)
+	return set, err
+}
+
+// LoadReviewed is like Load, and also returns what review finds in a valid set, with files and lines.
+func LoadReviewed(fsys fs.FS, review func(Set) Problems, paths ...string) (Set, Problems, error) {
 	l := newLoader(fsys)
 	for _, p := range paths {
 		l.loadPath(p)
@@ -23,7 +29,12 @@
 	if err := set.Check(); err != nil {
 		checkProblems = err.(Problems)
 	}
-	return set, append(l.problems, l.locate(checkProblems)...).Err()
+	if err := append(l.problems, l.locate(checkProblems)...).Err(); err != nil {
+		return set, nil, err
+	}
+	found := l.locate(review(set))
+	_ = found.Err() // sorts
+	return set, found, nil
 }
 
 // location is the file that defines an object, with the lines of all names in it.
--- a/internal/cmd/platformcmd.go
+++ b/internal/cmd/platformcmd.go
@@ -19,13 +19,14 @@
 func newPlatformCommand(a *app) *cli.Command {
 	return &cli.Command{
 		Name:  "platform",
-		Usage: "run a process on the platform, by the platform's settings file",
+		Usage: "run a process on the platform, by the platform's settings file, or check its documents",
 		Description: "The settings file is the one that " + platform.SettingsVariable + " names, or SETTINGS.\n" +
 			"Stops on SIGTERM.\n\n" +
 			"Example:\n   sapphirespread platform daemon --check node.yaml",
 		Commands: []*cli.Command{
 			newPlatformProcessCommand("daemon", "run the daemon beside a backend server", a.runPlatformDaemon),
 			newPlatformProcessCommand("control", "run a control instance", a.runPlatformControl),
+			newPlatformCheckCommand(a),
 		},
 	}
 }
--- a/internal/cmd/setfolder.go
+++ b/internal/cmd/setfolder.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"sapphirespread.example/configuration"
+	"sapphirespread.example/internal/configuration/lint"
 )
 
 const (
@@ -26,11 +27,20 @@
 
 // loadSet reads and checks the set in files and folders.
 func loadSet(paths []string) (configuration.Set, error) {
-	cleanPaths := make([]string, len(paths))
+	return configuration.Load(osFS{}, cleanPaths(paths)...)
+}
+
+// lintSet is like loadSet, and also returns warnings about objects of a valid set that have no effect.
+func lintSet(paths []string) (configuration.Set, configuration.Problems, error) {
+	return configuration.LoadReviewed(osFS{}, lint.Check, cleanPaths(paths)...)
+}
+
+func cleanPaths(paths []string) []string {
+	clean := make([]string, len(paths))
 	for i, path := range paths {
-		cleanPaths[i] = filepath.ToSlash(filepath.Clean(path))
+		clean[i] = filepath.ToSlash(filepath.Clean(path))
 	}
-	return configuration.Load(osFS{}, cleanPaths...)
+	return clean
 }
 
 // baseRevisionPath returns the path of the file that records the base revision of the set at path.
