--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -33,6 +33,7 @@
 	repeatable       bool
 	needsClaim       bool // may run only with a claim on its idempotency key
 	nested           bool // made by a backend server while it processes another request
+	repeat           bool // an extra attempt, or made by a run that was one
 	callerService    string
 	depth            int
 	allowance        *retry.Allowance
--- a/internal/daemon/decisions.go
+++ b/internal/daemon/decisions.go
@@ -58,6 +58,7 @@
 type retryBudget interface {
 	Success(now time.Time)
 	Withdraw(now time.Time) bool
+	Charge(now time.Time)
 }
 
 // quarantineList is implemented by quarantine.List and its recorder.
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -21,6 +21,9 @@
 // error is that of the last attempt after which it may have run, whatever the later attempts returned.
 func (d *Daemon) dispatch(ctx context.Context, c *call) (*answer, *attemptError) {
 	d.link.awaitTargets(ctx, c.service)
+	if c.repeat {
+		d.budget(c.service).Charge(time.Now())
+	}
 	var tried []string
 	var unknownOutcome *attemptError // last failure after which the request may have run
 	for {
@@ -29,7 +32,7 @@
 			return nil, cmp.Or(unknownOutcome, refused)
 		}
 		sentAt := time.Now()
-		answer, failed := d.attempt(ctx, c, chosen)
+		answer, failed := d.attempt(ctx, c, chosen, len(tried) > 0)
 		c.history.addAttempt(attemptRecord{target: chosen.Target.Name, shedShare: chosen.ShedShare, outcome: describeOutcome(answer, failed), duration: time.Since(sentAt)})
 		if failed == nil {
 			return answer, nil
@@ -102,12 +105,14 @@
 	return chosen, nil
 }
 
-// attempt sends c once to the chosen target with about half of the remaining allowance of extra attempts.
-func (d *Daemon) attempt(ctx context.Context, c *call, chosen target.Choice) (*answer, *attemptError) {
+// attempt sends c once to the chosen target with about half of the remaining allowance of extra attempts. extra reports
+// that it is not the first attempt.
+func (d *Daemon) attempt(ctx context.Context, c *call, chosen target.Choice, extra bool) (*answer, *attemptError) {
 	reservation := c.allowance.Reserve((c.allowance.Left() + 1) / 2)
 	a := &attempt{daemon: d, call: c, reservation: reservation, target: chosen.Target, sentAt: time.Now()}
 	child := c.child(d.nextCallID(), reservation.Size())
 	child.shedShare = max(c.shedShare, chosen.ShedShare)
+	child.repeat = c.repeat || extra
 	d.chooser.Sent(a.sentAt, chosen.Target.Name)
 	d.liveness.sent(a.sentAt, chosen.Target.Name, chosen.Target.Peer)
 	var got *answer
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -121,6 +121,7 @@
 	c.share = parent.share
 	c.shedShare = parent.shedShare
 	c.depth = parent.depth + 1
+	c.repeat = parent.repeat
 	c.deadline = earlier(c.deadline, parent.deadline)
 }
 
--- a/internal/daemon/remote.go
+++ b/internal/daemon/remote.go
@@ -105,6 +105,7 @@
 		Depth:             int32(c.depth),
 		Repeatable:        c.repeatable,
 		Nested:            c.nested,
+		Repeat:            c.repeat,
 		ObjectiveUs:       c.objective.Microseconds(),
 		CallerService:     c.callerService,
 		TrailerNames:      c.head.trailerNames,
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -40,6 +40,7 @@
 		repeatable:     header.GetRepeatable(),
 		needsClaim:     !header.GetRepeatable() && header.GetIdempotencyKey() != "",
 		nested:         header.GetNested(),
+		repeat:         header.GetRepeat(),
 		callerService:  header.GetCallerService(),
 		depth:          int(header.GetDepth()),
 		allowance:      retry.NewAllowance(int(header.GetAllowance())),
--- a/internal/trace/budget.go
+++ b/internal/trace/budget.go
@@ -33,6 +33,8 @@
 			byService[step.Service].Success(now)
 		case Withdraw:
 			byService[step.Service].Withdraw(now)
+		case Charge:
+			byService[step.Service].Charge(now)
 		}
 	}
 	return stream.Steps()
@@ -64,3 +66,11 @@
 	})
 	return step.Granted
 }
+
+// Charge records a call of a repeated run above the service, in the budget and as a step.
+func (b *Budget) Charge(now time.Time) {
+	b.stream.recordCall(func() BudgetStep {
+		b.inner.Charge(now)
+		return BudgetStep{At: b.stream.wallOffset(now), Call: Charge, Service: b.service}
+	})
+}
--- a/internal/trace/budgetstep.go
+++ b/internal/trace/budgetstep.go
@@ -13,6 +13,7 @@
 	SetBudget BudgetCall = "set"
 	Success   BudgetCall = "success"
 	Withdraw  BudgetCall = "withdraw"
+	Charge    BudgetCall = "charge"
 )
 
 // A BudgetStep is one recorded call to the retry budget of a service.
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -11,8 +11,8 @@
 	budgetWindow     = budgetSlots * budgetSlotLength
 )
 
-// A Budget limits the retries to one service to a share of the successful calls within the last 10 s, plus a
-// minimum rate. It is safe for concurrent use.
+// A Budget limits the retries to one service, together with the calls of repeated runs above it, to a share of the
+// successful calls within the last 10 s, plus a minimum rate. It is safe for concurrent use.
 type Budget struct {
 	share   float64
 	minimum float64 // retries per second
@@ -57,6 +57,16 @@
 	return true
 }
 
+// Charge records a call that the service gets because a run above it was a repeat. It counts like a retry, and is never
+// refused.
+func (b *Budget) Charge(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	b.slots[b.newestSlot%budgetSlots].retries++
+	b.total.retries++
+}
+
 // advance removes the slots that have left the window. If the clock goes back, the newest slot stays
 // current.
 func (b *Budget) advance(now time.Time) {
