--- a/priority/admission.go
+++ b/priority/admission.go
@@ -27,6 +27,7 @@
 	queueBound    int
 	levelValidity time.Duration
 	limiter       *limiter
+	gate          Gate
 	queue         *queue
 	running       map[uint64]string // route by ID of running request
 	serviceTimes  serviceTimes
@@ -41,6 +42,7 @@
 	a := &Admission{
 		levelValidity: defaultLevelValidity,
 		limiter:       newLimiter(defaultSlots),
+		gate:          openGate{},
 		queue:         newQueue(),
 		running:       make(map[uint64]string),
 		serviceTimes:  newServiceTimes(),
@@ -59,14 +61,15 @@
 		return nil
 	}
 	a.shedder.requestArrived(r)
+	a.gate.Offered(now)
 	verdicts := a.advanceWindow(now, nil)
 	if !a.serviceTimes.meetsDeadline(now, &r) {
 		return a.refuse(verdicts, r.ID, refusal.DeadlineUnreachable)
 	}
-	if a.queue.len() == 0 && a.hasFreeSlot() {
-		return a.admit(verdicts, r)
+	if a.queue.len() == 0 && a.mayStart(now) {
+		return a.admit(now, verdicts, r)
 	}
-	if lowest, bounded := a.lowestQueueablePriority(); bounded && r.Priority > lowest && !a.hasFreeSlot() {
+	if lowest, bounded := a.lowestQueueablePriority(); bounded && r.Priority > lowest && !a.mayStart(now) {
 		return a.refuse(verdicts, r.ID, refusal.Overloaded)
 	}
 	a.queue.push(now, a.waitDeadline(now, &r), r)
@@ -81,7 +84,8 @@
 	if !known {
 		return nil
 	}
-	a.limiter.runEnded(now, result, len(a.running), a.queue.len() > 0)
+	a.limiter.runEnded(now, result, len(a.running), a.queue.len() > 0 && a.gate.Open(now))
+	a.gate.Ended(now, route, result)
 	delete(a.running, id)
 	a.shedder.runCompleted(result.Latency)
 	if !result.Failed {
@@ -156,14 +160,15 @@
 	return runs || waits
 }
 
-func (a *Admission) hasFreeSlot() bool {
-	return len(a.running) < a.limiter.current()
+// mayStart reports whether a slot is free and the gate is open.
+func (a *Admission) mayStart(now time.Time) bool {
+	return len(a.running) < a.limiter.current() && a.gate.Open(now)
 }
 
 // admitWaiting admits waiting requests into free slots and refuses those that can no longer meet their
 // deadline.
 func (a *Admission) admitWaiting(now time.Time, verdicts []Verdict) []Verdict {
-	for a.hasFreeSlot() {
+	for a.mayStart(now) {
 		w := a.queue.next(a.newestFirst(now))
 		if w == nil {
 			return verdicts
@@ -174,7 +179,7 @@
 			continue
 		}
 		a.queue.dispatch(w)
-		verdicts = a.admit(verdicts, w.request)
+		verdicts = a.admit(now, verdicts, w.request)
 	}
 	return verdicts
 }
@@ -239,7 +244,7 @@
 // advanceWindow closes the shedder's window if it has ended, and refuses waiting requests of the priorities
 // that the new level sheds entirely.
 func (a *Admission) advanceWindow(now time.Time, verdicts []Verdict) []Verdict {
-	if !a.shedder.advance(now, load{a.queue.len(), a.limiter.current(), a.hasFreeSlot()}) {
+	if !a.shedder.advance(now, load{a.queue.len(), a.limiter.current(), a.mayStart(now), a.gate.Rate(now)}) {
 		return verdicts
 	}
 	lowest, bounded := a.lowestQueueablePriority()
@@ -271,8 +276,9 @@
 	return min(max(queueLimitFactor*a.limiter.current(), minQueueBound), maxQueueBound)
 }
 
-func (a *Admission) admit(verdicts []Verdict, r Request) []Verdict {
+func (a *Admission) admit(now time.Time, verdicts []Verdict, r Request) []Verdict {
 	a.running[r.ID] = r.Route
+	a.gate.Started(now)
 	a.stats.Admitted++
 	return append(verdicts, Verdict{ID: r.ID, Admitted: true})
 }
--- a/priority/option.go
+++ b/priority/option.go
@@ -15,6 +15,11 @@
 	return func(a *Admission) { a.limiter = newLimiter(n) }
 }
 
+// WithGate sets a gate that bounds how fast requests start.
+func WithGate(gate Gate) AdmissionOption {
+	return func(a *Admission) { a.gate = gate }
+}
+
 // WithQueueBound sets the maximum number of waiting requests. With 0, the bound follows the concurrency
 // limit.
 func WithQueueBound(n int) AdmissionOption {
--- a/priority/shedder.go
+++ b/priority/shedder.go
@@ -33,6 +33,7 @@
 	waiting     int
 	limit       int
 	hasFreeSlot bool
+	rate        float64 // starts per second that the gate allows, +Inf if unbounded
 }
 
 // shedder computes the level for upstream daemons. It admits a share of the estimated demand, most important
@@ -163,7 +164,7 @@
 	}
 	demand := s.totalDemand() / shedWindow.Seconds()
 	if demand > 0 && s.meanLatency > 0 {
-		capacity := float64(load.limit) / s.meanLatency
+		capacity := min(float64(load.limit)/s.meanLatency, load.rate)
 		admitted = max(admitted, capacity*(1-s.drainShare(load, capacity))/demand)
 	}
 	s.admittedShare = min(1, max(minAdmittedShare, admitted))
