--- a/internal/membership/target/chooser.go
+++ b/internal/membership/target/chooser.go
@@ -32,7 +32,7 @@
 // shed reports whether the reason is that targets shed the request.
 func (c *Chooser) Choose(now time.Time, random uint64, service string, origin priority.Origin, exclude []string) (choice Choice, ok, shed bool) {
 	members, _ := c.table.services.get(service)
-	sel := selection{chooser: c, now: now, at: c.offset(now), origin: origin, members: members, minShedShare: 1}
+	sel := selection{chooser: c, now: now, at: c.offset(now), origin: origin, members: members, random: random, minShedShare: 1}
 	sel.classify(exclude)
 	m := sel.pick(random)
 	if m == nil {
@@ -118,7 +118,7 @@
 
 // weight returns the load that m takes during its slow start relative to full load, from slowStartFloor to 1.
 func (c *Chooser) weight(m *member, at int64) float64 {
-	if !m.needsSlowStart || c.slowStart <= 0 {
+	if !m.needsSlowStart || c.slowStart <= 0 || m.pace.known() {
 		return 1
 	}
 	first := m.firstSeen.Load()
--- a/internal/membership/target/member.go
+++ b/internal/membership/target/member.go
@@ -26,6 +26,7 @@
 	failedShare  movingShare
 	erroredShare movingShare
 	level        atomic.Pointer[priority.Level]
+	pace         reportedPace
 
 	mu                  sync.Mutex
 	consecutiveFailures int
@@ -36,6 +37,7 @@
 	m := &member{needsSlowStart: needsSlowStart}
 	m.announced.Store(&t)
 	m.drained.Store(t.State == Draining)
+	m.pace.announce(t.Pace)
 	return m
 }
 
@@ -49,6 +51,9 @@
 	if t.State == Draining {
 		m.drained.Store(true)
 	}
+	if t.Pace != m.target().Pace {
+		m.pace.announce(t.Pace)
+	}
 	m.announced.Store(&t)
 	return t.State
 }
--- a/internal/membership/target/observation.go
+++ b/internal/membership/target/observation.go
@@ -24,6 +24,8 @@
 	Kind     AnswerKind
 	Level    priority.Level
 	Draining bool
+	// Pace is the pace that the target reported, see Target.Pace, or 0 if the answer doesn't tell.
+	Pace int `json:",omitempty"`
 	// Incarnation is the incarnation that answered, or 0 if unknown.
 	Incarnation uint64 `json:"-"`
 }
--- a/internal/membership/target/observe.go
+++ b/internal/membership/target/observe.go
@@ -39,6 +39,7 @@
 	if o.Kind != Unreachable {
 		m.lastActivity.Store(at)
 		m.storeLevel(o)
+		m.observePace(at, o)
 	}
 	m.refusedShare.observe(at, o.Kind == Refused)
 	switch o.Kind {
@@ -73,6 +74,13 @@
 	m.level.Store(&level)
 }
 
+// observePace stores the pace of an answer, unless it comes from an earlier incarnation.
+func (m *member) observePace(at int64, o Observation) {
+	if o.Pace > 0 && (o.Incarnation == 0 || o.Incarnation >= m.target().Incarnation) {
+		m.pace.report(at, o.Pace)
+	}
+}
+
 // observeLatency raises the average latency at once and lowers it with a half-life of latencyHalfLife.
 func (m *member) observeLatency(at, latency int64) {
 	latency = max(latency, 1)
--- a/internal/membership/target/selection.go
+++ b/internal/membership/target/selection.go
@@ -41,12 +41,16 @@
 	overflowTiers []tier // tiers of the members beyond inlineMembers
 	counts        [tierCount]int
 	shedCount     int
+	random        uint64
 	minShedShare  float64 // lowest share of requests of this origin that any target sheds
 }
 
 func (s *selection) classify(exclude []string) {
 	for i, m := range s.members {
 		t := s.tierOf(m, exclude)
+		if t < tierWarming && m.pace.holdsBack(s.at, mix(s.random, i)) {
+			t = tierWarming
+		}
 		s.counts[t]++
 		if i < inlineMembers {
 			s.inlineTiers[i] = t
--- a/internal/membership/target/target.go
+++ b/internal/membership/target/target.go
@@ -19,6 +19,9 @@
 	State         State
 	// StartedAt is the start time of the backend server, zero if unknown.
 	StartedAt time.Time
+	// Pace is the share of its usual calls that the target should be sent, in units of 1/FullPace, or 0 if its daemon
+	// doesn't pace it.
+	Pace int `json:",omitempty"`
 }
 
 // equalIgnoringLoad reports whether t and other are equal apart from slots, calls in flight, connections and the start
--- a/internal/message/target.go
+++ b/internal/message/target.go
@@ -24,6 +24,7 @@
 		Daemon:        t.Daemon,
 		Connections:   int32(t.Connections),
 		StartedAtUs:   EncodeStartTime(t.StartedAt),
+		Pace:          uint32(t.Pace),
 	}
 }
 
@@ -56,5 +57,6 @@
 		Connections:   int(encoded.GetConnections()),
 		StartedAt:     DecodeStartTime(encoded.GetStartedAtUs()),
 		State:         target.State(encoded.GetState()),
+		Pace:          DecodePace(encoded.GetPace()),
 	}, nil
 }
