--- /dev/null
+++ b/internal/admission/pace/round.go
@@ -0,0 +1,102 @@
+package pace
+
+import (
+	"time"
+
+	"sapphirespread.example/priority"
+)
+
+const (
+	roundAnswers     = 8
+	minRound         = 100 * time.Millisecond
+	longRound        = time.Second // after which fewer answers are enough
+	badAnswers       = 3           // failures that end a round at once, if they are more than badShare of its answers
+	badShare         = 0.2
+	badErrorShare    = 0.5 // an answer with an error may be that of a deeper service
+	heldSlowness     = 1.6 // mean latency relative to the best of the route, above which the rate isn't raised
+	crowdedSlowness  = 2.5 // the same, above which it is lowered
+	maxTrackedRoutes = 64
+)
+
+// A verdict is the judgement on one round.
+type verdict uint8
+
+const (
+	undecided verdict = iota
+	good
+	held    // slower than at its best
+	crowded // much slower than at its best
+	failed
+)
+
+// round judges the answers to the requests that started in it.
+type round struct {
+	start    time.Time
+	answers  int
+	failures int
+	errors   int
+	slowness float64 // sum over the answers
+}
+
+// add records the end of a run and returns the verdict on the round, if it is over. Failures count whenever their runs
+// started, as they show the present state of the server.
+func (r *round) add(now time.Time, slowness float64, result priority.Result) verdict {
+	switch result.Cause {
+	case priority.CauseAborted:
+		return undecided
+	case priority.CauseRefused, priority.CauseBroken:
+		r.failures++
+		r.answers++
+	default:
+		if now.Add(-result.Latency).Before(r.start) {
+			return undecided
+		}
+		r.answers++
+		r.slowness += slowness
+		if result.Cause == priority.CauseErrored {
+			r.errors++
+		}
+	}
+	return r.judge(now)
+}
+
+func (r *round) judge(now time.Time) verdict {
+	if r.failures >= badAnswers && float64(r.failures) > badShare*float64(r.answers) ||
+		r.errors >= badAnswers && float64(r.errors) > badErrorShare*float64(r.answers) {
+		return failed
+	}
+	elapsed := now.Sub(r.start)
+	if elapsed < minRound || r.answers < roundAnswers && elapsed < longRound {
+		return undecided
+	}
+	answered := r.answers - r.failures
+	switch {
+	case answered == 0:
+		return failed
+	case r.slowness > crowdedSlowness*float64(answered):
+		return crowded
+	case r.slowness > heldSlowness*float64(answered):
+		return held
+	default:
+		return good
+	}
+}
+
+// bestLatencies holds the best latency of each route since the start of the ramp. Routes beyond maxTrackedRoutes count as
+// fast.
+type bestLatencies map[string]time.Duration
+
+// slowness returns latency relative to the best of route, and records it.
+func (b bestLatencies) slowness(route string, latency time.Duration) float64 {
+	latency = max(latency, 1)
+	best, known := b[route]
+	switch {
+	case !known && len(b) >= maxTrackedRoutes:
+		return 1
+	case !known || latency < best:
+		b[route] = latency
+		return 1
+	default:
+		return float64(latency) / float64(best)
+	}
+}
