--- a/configuration/checkobject.go
+++ b/configuration/checkobject.go
@@ -17,6 +17,7 @@
 	maxLevel                   = 31
 	maxRetryBudget             = 1
 	maxMinimumRetriesPerSecond = 1000
+	maxColdRate                = 1_000_000
 	maxExtraAttempts           = 10
 	maxDeadline                = 10 * time.Minute
 	maxPathLength              = 1024
@@ -53,6 +54,8 @@
 	c.expect(inRange(s.RetryBudget, 0, maxRetryBudget), o, "retry-budget", s.RetryBudget, "a number from 0 to 1")
 	minimum := s.MinimumRetriesPerSecond
 	c.expect(inRange(minimum, 0, maxMinimumRetriesPerSecond), o, "minimum-retries-per-second", minimum, "a number from 0 to 1000")
+	c.expect(s.ColdStart >= 0 && s.ColdStart <= maxDeadline, o, "cold-start", s.ColdStart, `a duration from 0 to "10m"`)
+	c.expect(inRange(s.ColdRate, 0, maxColdRate), o, "cold-rate", s.ColdRate, "a number from 0 to 1000000")
 }
 
 func (c *checker) checkPriority(p Priority) {
--- a/configuration/write.go
+++ b/configuration/write.go
@@ -26,8 +26,11 @@
 
 func writeObject(w io.Writer, o Object) error {
 	var fields any = o
-	if r, ok := o.(Route); ok {
-		fields = r.body()
+	switch object := o.(type) {
+	case Route:
+		fields = object.body()
+	case Service:
+		fields = object.body()
 	}
 	encoded, err := toml.Marshal(fields)
 	if err != nil {
--- a/internal/daemon/admitter.go
+++ b/internal/daemon/admitter.go
@@ -41,7 +41,7 @@
 	case <-ctx.Done():
 	}
 	if a.cancel(c.admissionID, verdict) {
-		a.finish(c.admissionID, priority.Result{Failed: true})
+		a.finish(c.admissionID, priority.Result{Failed: true, Cause: priority.CauseAborted})
 	}
 	if c.remaining(time.Now()) > c.refusalMargin() {
 		return refuse(refusal.Cancelled, "the caller left before the request ran")
@@ -114,6 +114,13 @@
 	a.deliver(now, a.admission.Tick(now))
 }
 
+// locked calls f while no other call changes the admission.
+func (a *admitter) locked(f func()) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	f()
+}
+
 func (a *admitter) level(now time.Time) priority.Level {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/daemon/announce.go
+++ b/internal/daemon/announce.go
@@ -22,6 +22,8 @@
 	maxAnnouncedCount = math.MaxInt32
 	// maxClockDifference is far above the difference between the clocks of a backend server and its daemon.
 	maxClockDifference = time.Hour
+	// maxColdLeft is far above the time that a backend server takes to become warm.
+	maxColdLeft = 24 * time.Hour
 	// maxSequence is the largest integer that all JSON implementations represent exactly.
 	maxSequence = 1 << 53
 )
@@ -34,14 +36,18 @@
 
 // serveAnnounce handles an announcement that the backend server sends over HTTP.
 func (d *Daemon) serveAnnounce(w http.ResponseWriter, r *http.Request) {
-	var announcement Announcement
+	var body struct {
+		Announcement
+		ColdLeftMs int64 `json:"cold-left-ms"`
+	}
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnounceBytes))
 	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&announcement); err != nil {
+	if err := decoder.Decode(&body); err != nil {
 		d.refuseCaller(w, "", refuse(refusal.MalformedRequest, err.Error()))
 		return
 	}
-	incarnation, err := d.Announce(announcement)
+	body.ColdLeft = time.Duration(min(body.ColdLeftMs, maxColdLeft.Milliseconds()+1)) * time.Millisecond
+	incarnation, err := d.Announce(body.Announcement)
 	if err != nil {
 		d.refuseCaller(w, "", refuse(refusal.MalformedRequest, err.Error()))
 		return
@@ -60,6 +66,7 @@
 	if !accepted {
 		return incarnation, nil
 	}
+	d.hearPace(announcement, isNew)
 	d.admitter.announce(announcement.Slots)
 	d.reportAnnouncement(announcement, isNew)
 	return incarnation, nil
@@ -78,6 +85,8 @@
 	// Announcements of processes that started earlier are ignored, so a start in the future would displace the real one.
 	case startsInFuture(announcement.StartedAt):
 		return "the start time lies in the future"
+	case announcement.ColdLeft < 0 || announcement.ColdLeft > maxColdLeft:
+		return "the time that it stays cold is from 0 to " + maxColdLeft.String()
 	case announcement.Sequence > maxSequence:
 		return "sequence is at most " + strconv.Itoa(maxSequence)
 	}
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -30,6 +30,8 @@
 	// StartedAt is the start time of the backend server, zero if unknown. An announcement with an earlier start time
 	// belongs to a process that no longer runs.
 	StartedAt time.Time `json:"-"`
+	// ColdLeft is how much longer the backend server stays cold, zero if it isn't or doesn't say so.
+	ColdLeft time.Duration `json:"-"`
 	// Sequence orders the announcements of one process, or is zero if they arrive in order.
 	Sequence uint64 `json:"-"`
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -56,6 +56,7 @@
 	holder           holder
 	rateLimiter      *rateLimiter
 	admitter         *admitter
+	pace             *paceGate
 	downstream       *downstreamLevels
 	throttle         *entryThrottle
 	budgets          *budgets
--- a/internal/daemon/decisions.go
+++ b/internal/daemon/decisions.go
@@ -85,7 +85,8 @@
 func (d *Daemon) initDecisions() {
 	targets := target.NewTable(target.WithTableEvents(d.logTargetChange))
 	selector := target.NewChooser(targets, target.WithFailureDomain(d.settings.FailureDomain), target.WithDaemon(d.settings.Name), target.WithCrossDomainCost(d.settings.FarCost))
-	admissionControl := priority.NewAdmission()
+	d.pace = newPaceGate(d)
+	admissionControl := priority.NewAdmission(priority.WithGate(d.pace.pacer))
 	tokens := limit.NewHolder(limit.WithFallbackSpending(d.settings.Coasting), limit.WithFallbackEvents(d.logFallback))
 	list, inFlight := quarantine.NewList(), quarantine.NewInFlight()
 	if d.recorder == nil {
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -233,6 +233,7 @@
 		Kind:     a.kind,
 		Level:    a.report.level,
 		Draining: a.report.draining,
+		Pace:     a.report.pace,
 
 		Incarnation: a.target.Incarnation,
 	})
--- a/internal/daemon/linkreceive.go
+++ b/internal/daemon/linkreceive.go
@@ -89,6 +89,7 @@
 		return fmt.Errorf("applying revision %d: %w", delta.GetTo(), err)
 	}
 	d.budgets.reconfigure(d.snapshot())
+	d.pace.reconfigure(d.snapshot())
 	d.record("configuration", fmt.Sprintf("revision %d in force", delta.GetTo()))
 	return nil
 }
--- a/internal/daemon/linksession.go
+++ b/internal/daemon/linksession.go
@@ -241,6 +241,7 @@
 		InFlight:      announcement.InFlight,
 		Connections:   announcement.Connections,
 		StartedAt:     announcement.StartedAt,
+		Pace:          d.pace.share(),
 	})
 	encoded.State = state
 	return &peerpb.DaemonMessage{Body: &peerpb.DaemonMessage_Announce{Announce: encoded}}
--- a/internal/daemon/local.go
+++ b/internal/daemon/local.go
@@ -65,6 +65,8 @@
 	tracked      *trackedRun
 	ended        atomic.Bool
 	serverError  bool // the backend server answered with a server error
+	refused      bool // the backend server refused the request
+	broken       bool // the backend server gave no answer that can be passed on
 	cancel       context.CancelFunc
 }
 
@@ -233,6 +235,7 @@
 		crashedTarget = r.announcement.Name
 		kind = refusal.TargetCrashed
 	}
+	r.broken = kind != refusal.Cancelled && kind != refusal.DeadlineExceeded
 	r.finish(kind == refusal.Cancelled, crashedTarget)
 	refused := refuse(kind, err.Error())
 	refused.crashedTarget = crashedTarget
@@ -286,11 +289,13 @@
 	_ = response.Body.Close()
 	switch verdict {
 	case dialect.NoCapacity:
+		r.refused = true
 		return nil, r.giveUp(refuse(refusal.Overloaded, "the backend server has no room: "+status))
 	case dialect.Misdirected:
 		r.daemon.backend.markCrashed(r.incarnation)
 		return nil, r.giveUp(refuse(refusal.TargetUnreachable, "another backend server is there: "+status))
 	default:
+		r.broken = true
 		r.finishClaimUnknown()
 		r.finish(false, "")
 		return nil, refuse(refusal.TargetFailed, "the answer can't be passed on: "+status)
@@ -323,10 +328,30 @@
 		r.tracked.end(!inconclusive && crashedTarget == "")
 	}
 	serviceTime := time.Since(r.admittedAt)
-	r.daemon.admitter.finish(r.call.admissionID, priority.Result{Latency: serviceTime, Failed: inconclusive || r.serverError || crashedTarget != ""})
+	r.daemon.admitter.finish(r.call.admissionID, priority.Result{
+		Latency: serviceTime,
+		Failed:  inconclusive || r.serverError || crashedTarget != "",
+		Cause:   r.cause(inconclusive),
+	})
 	r.done(r.daemon.reportOf(r.call, crashedTarget))
 }
 
+// cause returns why the run failed, for the pace of the backend server.
+func (r *localRun) cause(inconclusive bool) priority.Cause {
+	switch {
+	case r.refused:
+		return priority.CauseRefused
+	case r.broken:
+		return priority.CauseBroken
+	case inconclusive:
+		return priority.CauseAborted
+	case r.serverError:
+		return priority.CauseErrored
+	default:
+		return priority.CauseNone
+	}
+}
+
 // reportOf returns this target's report at the end of c, with the unused allowance, which it takes from c.
 func (d *Daemon) reportOf(c *call, crashedTarget string) callReport {
 	now := time.Now()
@@ -335,6 +360,7 @@
 		level:           d.admitter.level(now),
 		downstream:      d.downstream.currentLevel(now, c.route),
 		draining:        d.draining(),
+		pace:            d.pace.share(),
 		crashedTarget:   crashedTarget,
 	}
 }
--- a/internal/daemon/report.go
+++ b/internal/daemon/report.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"sapphirespread.example/internal/message"
 	"sapphirespread.example/internal/peer/peerpb"
 	"sapphirespread.example/priority"
 )
@@ -14,6 +15,7 @@
 	downstream      priority.Level // of the services that a run of the call's route calls
 	draining        bool
 	crashedTarget   string
+	pace            int           // see target.Target, 0 if unknown
 	handlingTime    time.Duration // from the receipt of the call until the report, zero if unknown
 }
 
@@ -24,6 +26,7 @@
 		CrashedTarget:   report.crashedTarget,
 		Level:           encodeLevel(report.level, now),
 		Deeper:          encodeLevel(report.downstream, now),
+		Pace:            uint32(report.pace),
 		HandlingUs:      report.handlingTime.Microseconds(),
 	}
 }
@@ -35,6 +38,7 @@
 		crashedTarget:   encoded.GetCrashedTarget(),
 		level:           decodeLevel(encoded.GetLevel(), now),
 		downstream:      decodeLevel(encoded.GetDeeper(), now),
+		pace:            message.DecodePace(encoded.GetPace()),
 		handlingTime:    time.Duration(encoded.GetHandlingUs()) * time.Microsecond,
 	}
 }
--- a/internal/settings/daemon.go
+++ b/internal/settings/daemon.go
@@ -30,9 +30,12 @@
 	FarCost float64 `toml:"far-cost"`
 	// Coasting is how long workspaces may spend at their recently observed rate while no leader grants tokens.
 	Coasting time.Duration `toml:"coasting"`
-	Timeouts Timeouts      `toml:"timeouts"`
-	Log      Log           `toml:"log"`
-	TLS      TLS           `toml:"tls"`
+	// LearnPace paces a backend server that starts, turns cold or fails by its answers, in place of the slow start of a fixed
+	// time. A server whose service has a cold rate is paced in any case.
+	LearnPace bool     `toml:"learn-pace"`
+	Timeouts  Timeouts `toml:"timeouts"`
+	Log       Log      `toml:"log"`
+	TLS       TLS      `toml:"tls"`
 }
 
 // LoadDaemon loads and checks the settings file of a daemon and returns all problems as configuration.Problems.
