--- a/internal/admission/pace/bound_test.go
+++ b/internal/admission/pace/bound_test.go
@@ -151,6 +151,7 @@
 	if got := offer(p, 2*time.Second, 100); got == 0 || float64(got) > 1.5*coldRate+8 {
 		t.Errorf("%d started at a server that was idle", got)
 	}
+	offer(p, 2900*time.Millisecond, 1)
 	p.Hear(start.Add(3*time.Second), pace.Word{Slots: 64})
 	if got := offer(p, 3200*time.Millisecond, 100); got != 100 {
 		t.Errorf("%d of 100 started after it said that it is warm", got)
--- a/internal/admission/pace/cold.go
+++ b/internal/admission/pace/cold.go
@@ -6,11 +6,9 @@
 	// coldMargin covers the delay between the time at which an announcement was written and its arrival.
 	coldMargin = 250 * time.Millisecond
 	// idleUnsure is the time without a start after which an earlier announcement no longer shows that a server is warm.
-	// It is below the usual interval between announcements.
-	idleUnsure = time.Second
-	// freshWord is the age up to which an announcement is taken for the present state of a server that was idle.
-	freshWord = 500 * time.Millisecond
-	coldBurst = 2 // starts at once, in addition to the rate
+	// It exceeds the time for which the bound of a second may hold requests.
+	idleUnsure = 1500 * time.Millisecond
+	coldBurst  = 2 // starts at once, in addition to the rate
 )
 
 // cold bounds the starts of a cold backend server. The bound holds for any span of a second: it counts the starts before the
@@ -19,7 +17,6 @@
 	rate      float64 // starts per second while cold, 0 if the configuration sets no bound
 	duration  time.Duration
 	until     time.Time
-	heardAt   time.Time
 	sureAfter time.Time // when a server that was idle is no longer taken to be cold
 	starts    startWindow
 }
@@ -35,10 +32,10 @@
 
 // hear applies an announcement.
 func (c *cold) hear(now time.Time, w Word) {
-	if c.heardAt.IsZero() {
-		c.starts.last = now // a server that this daemon didn't know was not idle for its part
+	if c.starts.last.IsZero() {
+		c.starts.last = now // a server that this daemon didn't know may have been in use
 	}
-	c.heardAt, c.sureAfter = now, time.Time{}
+	c.sureAfter = time.Time{}
 	c.until = time.Time{}
 	if w.ColdLeft > 0 {
 		c.until = now.Add(w.ColdLeft + coldMargin)
@@ -47,7 +44,7 @@
 
 // started counts a start. After an idle time the server may have turned cold unheard.
 func (c *cold) started(now time.Time) {
-	if c.rate > 0 && now.Sub(c.starts.last) > idleUnsure && now.Sub(c.heardAt) > freshWord {
+	if c.rate > 0 && now.Sub(c.starts.last) > idleUnsure {
 		c.sureAfter = now.Add(c.duration)
 	}
 	c.starts.add(now)
