--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"sapphirespread.example/configuration"
+	"sapphirespread.example/internal/backend/load"
 	"sapphirespread.example/internal/daemon/dialect"
 	"sapphirespread.example/internal/host/boottime"
 	"sapphirespread.example/internal/membership/target"
@@ -66,6 +67,7 @@
 	callTokens       *callTokens
 	runningCalls     *runningCalls
 	backend          *backend
+	loadMeter        *load.Meter
 	pool             *peer.Pool
 	streams          *streamPool
 	peers            *peer.Server
@@ -98,6 +100,7 @@
 		callTokens:    newCallTokens(),
 		runningCalls:  newRunningCalls(),
 		counters:      newCounters(),
+		loadMeter:     load.NewMeter(),
 		inFlight:      newInFlight(),
 		latencies:     newLatencies(),
 		returnTimes:   newReturnTimes(),
--- a/internal/daemon/dialect/dialect.go
+++ b/internal/daemon/dialect/dialect.go
@@ -1,6 +1,10 @@
 package dialect
 
-import "net/http"
+import (
+	"net/http"
+
+	"sapphirespread.example/internal/backend/load"
+)
 
 // Dialect reads and writes the headers that carry metadata between the daemon, its callers and its backend server. Its
 // methods are safe for concurrent use.
@@ -15,6 +19,8 @@
 	AnswerKey(facts Facts) string
 	// ClassifyAnswer classifies an answer of the backend server to the request described by facts.
 	ClassifyAnswer(status int, header http.Header, facts Facts) Verdict
+	// ServerLoad extracts the load that a backend server states in its answer, or returns false if it states none.
+	ServerLoad(header http.Header) (load.Report, bool)
 	// Answer returns a copy of the answer headers to forward to the caller.
 	Answer(header http.Header) http.Header
 	// Refuse writes the response to a request that was refused or failed without an answer of a backend server.
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -221,8 +221,10 @@
 	}
 	now := time.Now()
 	a.daemon.liveness.ended(now, a.target.Name)
+	var transit time.Duration
 	if handling := a.report.handlingTime; handling > 0 {
-		a.daemon.returnTimes.observe(now, a.target.Peer, now.Sub(a.sentAt)-handling)
+		transit = now.Sub(a.sentAt) - handling
+		a.daemon.returnTimes.observe(now, a.target.Peer, transit)
 	}
 	a.daemon.downstream.recordLevel(a.call.callee(), a.report.downstream)
 	if a.kind == target.OK {
@@ -233,6 +235,8 @@
 		Kind:     a.kind,
 		Level:    a.report.level,
 		Draining: a.report.draining,
+		Load:     a.report.load,
+		Transit:  transit,
 
 		Incarnation: a.target.Incarnation,
 	})
--- a/internal/daemon/local.go
+++ b/internal/daemon/local.go
@@ -59,6 +59,7 @@
 	announcement Announcement
 	incarnation  uint64
 	admittedAt   time.Time
+	sentAt       time.Time
 	done         func(callReport)
 	claim        *heldClaim
 	token        string
@@ -123,6 +124,7 @@
 	if r.claim != nil && !r.claim.mayRun(startsAt) {
 		return nil, r.giveUp(refuse(refusal.ClaimUnavailable, "the claim was granted too late"))
 	}
+	r.sentAt = startsAt
 	var connected atomic.Bool
 	facts := r.facts()
 	request, err := r.request(ctx, facts)
@@ -278,6 +280,7 @@
 // handleResponse returns the answer if the dialect can pass it on, and otherwise the refusal for the dialect's verdict.
 func (r *localRun) handleResponse(ctx context.Context, response *http.Response, facts dialect.Facts) (*answer, *attemptError) {
 	verdict := r.daemon.dialect.ClassifyAnswer(response.StatusCode, response.Header, facts)
+	r.observeLoad(time.Now(), response, verdict)
 	if verdict == dialect.Valid {
 		return r.answer(ctx, response)
 	}
@@ -336,5 +339,6 @@
 		downstream:      d.downstream.currentLevel(now, c.route),
 		draining:        d.draining(),
 		crashedTarget:   crashedTarget,
+		load:            d.serverLoad(now),
 	}
 }
--- a/internal/daemon/owndialect.go
+++ b/internal/daemon/owndialect.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"sapphirespread.example/internal/backend/load"
 	"sapphirespread.example/internal/daemon/dialect"
 	"sapphirespread.example/refusal"
 	"sapphirespread.example/retry"
@@ -54,6 +55,9 @@
 	return dialect.Valid
 }
 
+// ServerLoad returns nothing: backend servers of this dialect don't state their load.
+func (ownDialect) ServerLoad(http.Header) (load.Report, bool) { return load.Report{}, false }
+
 // A refusalBody is the JSON body of a refusal.
 type refusalBody struct {
 	Kind      refusal.Kind     `json:"kind"`
--- a/internal/daemon/report.go
+++ b/internal/daemon/report.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"sapphirespread.example/internal/backend/load"
 	"sapphirespread.example/internal/peer/peerpb"
 	"sapphirespread.example/priority"
 )
@@ -15,6 +16,7 @@
 	draining        bool
 	crashedTarget   string
 	handlingTime    time.Duration // from the receipt of the call until the report, zero if unknown
+	load            load.State
 }
 
 func encodeReport(report callReport, now time.Time) *peerpb.CallReport {
@@ -25,6 +27,7 @@
 		Level:           encodeLevel(report.level, now),
 		Deeper:          encodeLevel(report.downstream, now),
 		HandlingUs:      report.handlingTime.Microseconds(),
+		Load:            encodeLoad(report.load),
 	}
 }
 
@@ -36,5 +39,6 @@
 		level:           decodeLevel(encoded.GetLevel(), now),
 		downstream:      decodeLevel(encoded.GetDeeper(), now),
 		handlingTime:    time.Duration(encoded.GetHandlingUs()) * time.Microsecond,
+		load:            decodeLoad(encoded.GetLoad()),
 	}
 }
--- a/internal/membership/target/chooser.go
+++ b/internal/membership/target/chooser.go
@@ -48,6 +48,7 @@
 	if !known {
 		return
 	}
+	m.completion.Sent()
 	if m.inFlight.Add(1) == 1 {
 		m.lastActivity.Store(c.offset(now))
 	}
--- a/internal/membership/target/member.go
+++ b/internal/membership/target/member.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"sapphirespread.example/internal/routing/completion"
 	"sapphirespread.example/priority"
 )
 
@@ -26,6 +27,7 @@
 	failedShare  movingShare
 	erroredShare movingShare
 	level        atomic.Pointer[priority.Level]
+	completion   completion.Estimator
 
 	mu                  sync.Mutex
 	consecutiveFailures int
--- a/internal/membership/target/membership_bench_test.go
+++ b/internal/membership/target/membership_bench_test.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"sapphirespread.example/internal/backend/load"
 	"sapphirespread.example/internal/membership/target"
 	"sapphirespread.example/internal/peer/peerpb"
 	"sapphirespread.example/priority"
@@ -235,6 +236,25 @@
 	}
 }
 
+// BenchmarkChooseAmongReporting measures the choice among 100 targets of three failure domains that report their load.
+func BenchmarkChooseAmongReporting(b *testing.B) {
+	domains := make([]string, 100)
+	for i := range domains {
+		domains[i] = []string{"east", "north", "west"}[i%3]
+	}
+	_, c := newTableAndChooser(b, domains...)
+	state := load.State{InFlight: 20, Slots: 84, ServiceTime: 90 * time.Millisecond, Slowness: 1.2}
+	for i := range domains {
+		c.Answered(start, fmt.Sprint("t", i), target.Observation{Kind: target.OK, Latency: time.Millisecond, Load: state})
+	}
+	random := uint64(1)
+	b.ReportAllocs()
+	for b.Loop() {
+		random = random*6364136223846793005 + 1442695040888963407
+		c.Choose(start, random, "wind", priority.Origin{RootHash: 1, Priority: 0}, nil)
+	}
+}
+
 // BenchmarkTable measures applying a full delta to a table and reports the table's memory.
 func BenchmarkTable(b *testing.B) {
 	for _, targets := range []int{97, 470, 940} {
--- a/internal/membership/target/observation.go
+++ b/internal/membership/target/observation.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"sapphirespread.example/internal/backend/load"
 	"sapphirespread.example/priority"
 )
 
@@ -24,6 +25,10 @@
 	Kind     AnswerKind
 	Level    priority.Level
 	Draining bool
+	// Load is the load that the target reported, or the zero value.
+	Load load.State
+	// Transit is the part of the latency that was not spent at the target, or 0 if unknown.
+	Transit time.Duration
 	// Incarnation is the incarnation that answered, or 0 if unknown.
 	Incarnation uint64 `json:"-"`
 }
--- a/internal/membership/target/observe.go
+++ b/internal/membership/target/observe.go
@@ -39,6 +39,7 @@
 	if o.Kind != Unreachable {
 		m.lastActivity.Store(at)
 		m.storeLevel(o)
+		m.observeLoad(at, o)
 	}
 	m.refusedShare.observe(at, o.Kind == Refused)
 	switch o.Kind {
@@ -64,6 +65,17 @@
 	return m.consecutiveFailures >= ejectAfterFailures || m.failedShare.share() > ejectFailureShare
 }
 
+// observeLoad records the load that the target reported, if it did.
+func (m *member) observeLoad(at int64, o Observation) {
+	if !o.Load.Known() {
+		return
+	}
+	m.completion.Observe(time.Duration(at), o.Load)
+	if o.Transit > 0 {
+		m.completion.ObserveTransit(time.Duration(at), o.Transit)
+	}
+}
+
 func (m *member) storeLevel(o Observation) {
 	if o.Level.ValidUntil.IsZero() {
 		m.level.Store(nil)
--- a/internal/membership/target/selection.go
+++ b/internal/membership/target/selection.go
@@ -27,24 +27,26 @@
 	refusalPenalty          = 10.0
 	failurePenalty          = 20.0
 	defaultSlots            = 64
-	inlineMembers           = 64 // a choice among more members allocates memory
+	inlineMembers           = 128 // a choice among more members allocates memory
 )
 
 // selection classifies the targets of one service into tiers for one choice.
 type selection struct {
 	chooser       *Chooser
 	now           time.Time
-	at            int64 // offset of now, see Chooser.offset // offset of now, see Chooser.offset
+	at            int64 // offset of now, see Chooser.offset
 	origin        priority.Origin
 	members       []*member
 	inlineTiers   [inlineMembers]tier
 	overflowTiers []tier // tiers of the members beyond inlineMembers
 	counts        [tierCount]int
 	shedCount     int
+	reporting     bool    // most targets report their load, so that a high latency alone is no sign of pressure
 	minShedShare  float64 // lowest share of requests of this origin that any target sheds
 }
 
 func (s *selection) classify(exclude []string) {
+	s.reporting = s.mostReport()
 	for i, m := range s.members {
 		t := s.tierOf(m, exclude)
 		s.counts[t]++
@@ -57,6 +59,17 @@
 	s.counts[tierServing] += s.counts[tierOwnDomain] + s.counts[tierOwnDomainPressed]
 }
 
+// mostReport reports whether at least half of the targets have reported their load lately.
+func (s *selection) mostReport() bool {
+	reporting := 0
+	for _, m := range s.members {
+		if m.completion.Reporting(time.Duration(s.at)) {
+			reporting++
+		}
+	}
+	return reporting > 0 && 2*reporting >= len(s.members)
+}
+
 func (s *selection) tierOf(m *member, exclude []string) tier {
 	target := m.target()
 	if m.drained.Load() || excluded(target.Name, exclude) || s.chooser.isSilent(m, s.at) {
@@ -109,9 +122,14 @@
 	if level := m.level.Load(); level != nil && s.now.Before(level.ValidUntil) {
 		return true
 	}
+	if m.refusedShare.recentShare(s.at, refusalWindow) > pressureRefusedShare {
+		return true
+	}
+	if s.reporting {
+		return false
+	}
 	latency := m.expectedLatency(s.at)
-	return latency > pressureLatencyMultiple*m.bestLatency.Load()+int64(pressureLatencySlack) ||
-		m.refusedShare.recentShare(s.at, refusalWindow) > pressureRefusedShare
+	return latency > pressureLatencyMultiple*m.bestLatency.Load()+int64(pressureLatencySlack)
 }
 
 // pick returns the cheaper of two random members of the most preferred tier that has members. It returns nil rather
@@ -148,6 +166,20 @@
 			b = s.nth(t, (other+1)%n)
 		}
 	}
+	return s.cheaper(a, b)
+}
+
+// cheaper returns b if it costs less than a, and otherwise a. Targets that both reported their load lately are compared
+// by the expected time to completion.
+func (s *selection) cheaper(a, b *member) *member {
+	completionA, knownA := a.completion.Estimate(time.Duration(s.at))
+	completionB, knownB := b.completion.Estimate(time.Duration(s.at))
+	if knownA && knownB {
+		if s.completionCost(b, completionB) < s.completionCost(a, completionA) {
+			return b
+		}
+		return a
+	}
 	latencyA, latencyB := a.expectedLatency(s.at), b.expectedLatency(s.at)
 	if latencyA == 0 || latencyB == 0 {
 		latencyA, latencyB = 1, 1 // a latency is not measured yet
@@ -158,14 +190,23 @@
 	return a
 }
 
+// completionCost returns the cost of m from the expected time to completion of one more call.
+func (s *selection) completionCost(m *member, expected time.Duration) float64 {
+	return s.penalize(m, float64(expected)/s.chooser.weight(m, s.at))
+}
+
 // cost estimates how long one more call waits at m, for comparison with other members. The announced slots stand for
-// the target's capacity. Recent refusals and failures and another failure domain raise the cost.
+// the target's capacity.
 func (s *selection) cost(m *member, latency int64) float64 {
 	slots := m.target().Slots
 	if slots <= 0 {
 		slots = defaultSlots
 	}
-	cost := float64(latency) * float64(m.inFlight.Load()+1) / (float64(slots) * s.chooser.weight(m, s.at))
+	return s.penalize(m, float64(latency)*float64(m.inFlight.Load()+1)/(float64(slots)*s.chooser.weight(m, s.at)))
+}
+
+// penalize raises the cost of m for another failure domain and for recent refusals and failures.
+func (s *selection) penalize(m *member, cost float64) float64 {
 	if ownDomain := s.chooser.failureDomain; ownDomain != "" && m.target().FailureDomain != ownDomain {
 		cost *= s.chooser.crossDomainCost
 	}
--- a/internal/trace/targetstep.go
+++ b/internal/trace/targetstep.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"sapphirespread.example/internal/backend/load"
 	"sapphirespread.example/internal/membership/target"
 	"sapphirespread.example/priority"
 )
@@ -48,6 +49,8 @@
 	Latency  time.Duration     `json:"latency"`
 	Draining bool              `json:"draining,omitempty"`
 	Level    *ShedLevel        `json:"level,omitempty"`
+	Load     *load.State       `json:"load,omitempty"`
+	Transit  time.Duration     `json:"transit,omitempty"`
 }
 
 // Time returns the time of the call since the start of the recording.
@@ -87,9 +90,17 @@
 }
 
 func newTargetObservation(start time.Time, o target.Observation) *TargetObservation {
-	return &TargetObservation{Kind: o.Kind, Latency: o.Latency, Draining: o.Draining, Level: newShedLevel(start, o.Level)}
+	recorded := &TargetObservation{Kind: o.Kind, Latency: o.Latency, Draining: o.Draining, Level: newShedLevel(start, o.Level)}
+	if o.Load.Known() {
+		recorded.Load, recorded.Transit = &o.Load, o.Transit
+	}
+	return recorded
 }
 
 func (o TargetObservation) observation(start time.Time) target.Observation {
-	return target.Observation{Kind: o.Kind, Latency: o.Latency, Draining: o.Draining, Level: o.Level.level(start)}
+	observation := target.Observation{Kind: o.Kind, Latency: o.Latency, Draining: o.Draining, Level: o.Level.level(start)}
+	if o.Load != nil {
+		observation.Load, observation.Transit = *o.Load, o.Transit
+	}
+	return observation
 }
