--- a/internal/daemon/decisions.go
+++ b/internal/daemon/decisions.go
@@ -35,6 +35,7 @@
 	Answered(now time.Time, name string, o target.Observation)
 	RecordHeartbeat(now time.Time, name string)
 	Level(now time.Time, service string) priority.Level
+	Routing() map[string]target.RoutingStats
 }
 
 // holder is implemented by limit.Holder and its recorder.
@@ -84,7 +85,7 @@
 // initDecisions creates the instances of the decision packages, and wraps them if the daemon has a recorder.
 func (d *Daemon) initDecisions() {
 	targets := target.NewTable(target.WithTableEvents(d.logTargetChange))
-	selector := target.NewChooser(targets, target.WithFailureDomain(d.settings.FailureDomain), target.WithDaemon(d.settings.Name), target.WithCrossDomainCost(d.settings.FarCost))
+	selector := target.NewChooser(targets, target.WithFailureDomain(d.settings.FailureDomain), target.WithDaemon(d.settings.Name), target.WithCrossDomainCost(d.settings.FarCost), target.WithSpillEvents(d.logSpill))
 	admissionControl := priority.NewAdmission()
 	tokens := limit.NewHolder(limit.WithFallbackSpending(d.settings.Coasting), limit.WithFallbackEvents(d.logFallback))
 	list, inFlight := quarantine.NewList(), quarantine.NewInFlight()
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -238,6 +238,7 @@
 		Load:     a.report.load,
 		Transit:  transit,
 
+		Objective:   a.call.objective,
 		Incarnation: a.target.Incarnation,
 	})
 }
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -76,6 +76,7 @@
 func (d *Daemon) publishGauges() {
 	d.counters.vars.Set("admission", expvar.Func(func() any { return d.admitter.stats(time.Now()) }))
 	d.latencies.publish(d.counters.vars)
+	d.publishRouting()
 	d.counters.vars.Set("readiness", expvar.Func(func() any { return d.readiness(boottime.Now()) }))
 	d.counters.vars.Set("fallback-tokens", expvar.Func(func() any { return d.holder.FallbackTokens() }))
 	d.counters.vars.Set("in-flight", expvar.Func(func() any { return d.inFlight.current() }))
--- a/internal/daemon/reportload.go
+++ b/internal/daemon/reportload.go
@@ -1,11 +1,13 @@
 package daemon
 
 import (
+	"expvar"
 	"net/http"
 	"time"
 
 	"sapphirespread.example/internal/backend/load"
 	"sapphirespread.example/internal/daemon/dialect"
+	"sapphirespread.example/internal/membership/target"
 	"sapphirespread.example/internal/peer/peerpb"
 )
 
@@ -36,6 +38,19 @@
 	return d.loadMeter.State(now, stats.Running, stats.Waiting, announcement.Slots)
 }
 
+// logSpill logs that calls to a service begin or end to leave the failure domain.
+func (d *Daemon) logSpill(e target.SpillEvent) {
+	d.logger.Info().Str("service", e.Service).Str("change", string(e.Change)).Int64("near-ms", e.Sample.Near.Milliseconds()).
+		Int64("far-ms", e.Sample.Far.Milliseconds()).Float64("near-refusing", e.Sample.NearRefusing).Float64("far-refusing", e.Sample.FarRefusing).
+		Int64("objective-ms", e.Sample.Objective.Milliseconds()).Msg("daemon: calls leave the failure domain")
+}
+
+// publishRouting registers the metrics of the choice by load reports.
+func (d *Daemon) publishRouting() {
+	d.counters.vars.Set("routing", expvar.Func(func() any { return d.chooser.Routing() }))
+	d.counters.vars.Set("load-reports", expvar.Func(func() any { return d.loadMeter.Reports() }))
+}
+
 // encodeLoad encodes state for a peer, or returns nil if there is none.
 func encodeLoad(state load.State) *peerpb.ServerLoad {
 	if !state.Known() {
--- a/internal/membership/target/chooser.go
+++ b/internal/membership/target/chooser.go
@@ -16,12 +16,13 @@
 	silenceTimeout  time.Duration
 	slowStart       time.Duration
 	crossDomainCost float64
+	onSpill         func(SpillEvent)
 	firstTime       atomic.Pointer[time.Time]
 }
 
 // NewChooser returns a Chooser over the targets of table.
 func NewChooser(table *Table, opts ...ChooserOption) *Chooser {
-	c := &Chooser{table: table, silenceTimeout: defaultSilenceTimeout, slowStart: defaultSlowStart, crossDomainCost: 1}
+	c := &Chooser{table: table, silenceTimeout: defaultSilenceTimeout, slowStart: defaultSlowStart, crossDomainCost: 1, onSpill: func(SpillEvent) {}}
 	for _, opt := range opts {
 		opt(c)
 	}
@@ -48,12 +49,22 @@
 	if !known {
 		return
 	}
-	m.completion.Sent()
+	c.recordSent(m)
 	if m.inFlight.Add(1) == 1 {
 		m.lastActivity.Store(c.offset(now))
 	}
 }
 
+// recordSent counts a call to m since its last report, and as one within the failure domain or beyond.
+func (c *Chooser) recordSent(m *member) {
+	m.completion.Sent()
+	if m.target().FailureDomain == c.failureDomain {
+		m.routing.near.Add(1)
+	} else {
+		m.routing.far.Add(1)
+	}
+}
+
 // Answered records how a call to the target ended.
 func (c *Chooser) Answered(now time.Time, name string, o Observation) {
 	m, known := c.table.members.get(name)
@@ -69,6 +80,7 @@
 	if m.observe(at, o) && c.ejectionsLeft(m, at) > 0 {
 		m.ejectOutlier(at)
 	}
+	c.updateRouting(m, at, o)
 }
 
 // RecordHeartbeat records a heartbeat of the target's daemon that ends no call, such as the answer to a keepalive.
--- a/internal/membership/target/member.go
+++ b/internal/membership/target/member.go
@@ -28,14 +28,15 @@
 	erroredShare movingShare
 	level        atomic.Pointer[priority.Level]
 	completion   completion.Estimator
+	routing      *serviceRouting
 
 	mu                  sync.Mutex
 	consecutiveFailures int
 	ejectionBackoff     int
 }
 
-func newMember(t Target, needsSlowStart bool) *member {
-	m := &member{needsSlowStart: needsSlowStart}
+func newMember(t Target, needsSlowStart bool, routing *serviceRouting) *member {
+	m := &member{needsSlowStart: needsSlowStart, routing: routing}
 	m.announced.Store(&t)
 	m.drained.Store(t.State == Draining)
 	return m
--- a/internal/membership/target/observation.go
+++ b/internal/membership/target/observation.go
@@ -27,6 +27,8 @@
 	Draining bool
 	// Load is the load that the target reported, or the zero value.
 	Load load.State
+	// Objective is the latency objective of the call, or 0 if it has none.
+	Objective time.Duration
 	// Transit is the part of the latency that was not spent at the target, or 0 if unknown.
 	Transit time.Duration
 	// Incarnation is the incarnation that answered, or 0 if unknown.
--- a/internal/membership/target/selection.go
+++ b/internal/membership/target/selection.go
@@ -41,12 +41,14 @@
 	overflowTiers []tier // tiers of the members beyond inlineMembers
 	counts        [tierCount]int
 	shedCount     int
-	reporting     bool    // most targets report their load, so that a high latency alone is no sign of pressure
-	minShedShare  float64 // lowest share of requests of this origin that any target sheds
+	routing       *serviceRouting // nil unless most targets report their load
+	minShedShare  float64         // lowest share of requests of this origin that any target sheds
 }
 
 func (s *selection) classify(exclude []string) {
-	s.reporting = s.mostReport()
+	if len(s.members) > 0 && s.members[0].routing.reporting.Load() {
+		s.routing = s.members[0].routing
+	}
 	for i, m := range s.members {
 		t := s.tierOf(m, exclude)
 		s.counts[t]++
@@ -59,17 +61,6 @@
 	s.counts[tierServing] += s.counts[tierOwnDomain] + s.counts[tierOwnDomainPressed]
 }
 
-// mostReport reports whether at least half of the targets have reported their load lately.
-func (s *selection) mostReport() bool {
-	reporting := 0
-	for _, m := range s.members {
-		if m.completion.Reporting(time.Duration(s.at)) {
-			reporting++
-		}
-	}
-	return reporting > 0 && 2*reporting >= len(s.members)
-}
-
 func (s *selection) tierOf(m *member, exclude []string) tier {
 	target := m.target()
 	if m.drained.Load() || excluded(target.Name, exclude) || s.chooser.isSilent(m, s.at) {
@@ -125,8 +116,8 @@
 	if m.refusedShare.recentShare(s.at, refusalWindow) > pressureRefusedShare {
 		return true
 	}
-	if s.reporting {
-		return false
+	if s.routing != nil {
+		return false // the expected completion tells more than a latency, which also differs by the work of the calls
 	}
 	latency := m.expectedLatency(s.at)
 	return latency > pressureLatencyMultiple*m.bestLatency.Load()+int64(pressureLatencySlack)
@@ -135,6 +126,11 @@
 // pick returns the cheaper of two random members of the most preferred tier that has members. It returns nil rather
 // than a warming or ejected target if a target sheds the request.
 func (s *selection) pick(random uint64) *member {
+	if s.routing != nil {
+		if m := s.pickByLocality(random); m != nil {
+			return m
+		}
+	}
 	if s.counts[tierOwnDomain] > 0 {
 		return s.pickFromTier(tierOwnDomain, random)
 	}
@@ -149,6 +145,44 @@
 	return nil
 }
 
+// pickByLocality returns the cheaper of two random members of the own failure domain, or of the others for the share of
+// calls that leaves it. It returns nil if one of both sides has no members that can serve.
+func (s *selection) pickByLocality(random uint64) *member {
+	near := s.counts[tierOwnDomain] + s.counts[tierOwnDomainPressed]
+	far := s.counts[tierServing] - near
+	switch {
+	case near == 0 || far == 0:
+		return nil
+	case s.routing.spill.Leaves(random):
+		return s.pickBetween(tierServing, tierServing, far, random)
+	default:
+		return s.pickBetween(tierOwnDomain, tierOwnDomainPressed, near, random)
+	}
+}
+
+// pickBetween returns the cheaper of two random members of the n members of the tiers from low to high.
+func (s *selection) pickBetween(low, high tier, n int, random uint64) *member {
+	if n == 1 {
+		return s.nthBetween(low, high, 0)
+	}
+	first, second := int(uint32(random)), int(random>>32)
+	return s.cheaper(s.nthBetween(low, high, first%n), s.nthBetween(low, high, (first%n+1+second%(n-1))%n))
+}
+
+// nthBetween returns the nth member of the tiers from low to high.
+func (s *selection) nthBetween(low, high tier, n int) *member {
+	for i, m := range s.members {
+		if t := s.tierAt(i); t < low || t > high {
+			continue
+		}
+		if n == 0 {
+			return m
+		}
+		n--
+	}
+	return nil
+}
+
 // pickFromTier returns the cheaper of two random members of tier t. If other failure domains cost more and the own one
 // is under pressure, one of the two belongs to the own failure domain, so that calls leave it only for a clearly
 // cheaper target and not for an equally loaded one.
@@ -180,6 +214,9 @@
 		}
 		return a
 	}
+	if s.routing != nil {
+		s.routing.aged.Add(1)
+	}
 	latencyA, latencyB := a.expectedLatency(s.at), b.expectedLatency(s.at)
 	if latencyA == 0 || latencyB == 0 {
 		latencyA, latencyB = 1, 1 // a latency is not measured yet
--- a/internal/membership/target/table.go
+++ b/internal/membership/target/table.go
@@ -136,7 +136,7 @@
 		t.remove(*m.target())
 	}
 	t.notify(TargetAdded, target)
-	added := newMember(target, needsSlowStart)
+	added := newMember(target, needsSlowStart, t.routingOf(target.Service))
 	t.members.update(target.Name, func(*member, bool) (*member, bool) { return added, true })
 	t.services.update(target.Service, func(old []*member, _ bool) ([]*member, bool) {
 		members := append(slices.Clone(old), added)
@@ -147,6 +147,14 @@
 	})
 }
 
+// routingOf returns the routing state of service, which lasts as long as it has targets.
+func (t *Table) routingOf(service string) *serviceRouting {
+	if members, _ := t.services.get(service); len(members) > 0 {
+		return members[0].routing
+	}
+	return &serviceRouting{}
+}
+
 func (t *Table) remove(target Target) {
 	m, known := t.members.get(target.Name)
 	if !known || m.target().Service != target.Service || m.target().Incarnation > target.Incarnation {
--- a/internal/routing/completion/estimator.go
+++ b/internal/routing/completion/estimator.go
@@ -67,6 +67,9 @@
 	return takenAt != 0 && int64(at)-takenAt <= int64(reportingTime)
 }
 
+// ServiceTime returns the reported time of an answer without a wait.
+func (e *Estimator) ServiceTime() time.Duration { return time.Duration(e.serviceTime.Load()) }
+
 // Estimate returns the expected time until the answer to one more call. known is false without a report of the last
 // second.
 func (e *Estimator) Estimate(at time.Duration) (expected time.Duration, known bool) {
--- a/internal/trace/targets.go
+++ b/internal/trace/targets.go
@@ -81,6 +81,9 @@
 	t.stream.add(TargetStep{At: now.Sub(t.start), Call: RecordHeartbeat, Name: name})
 }
 
+// Routing returns the statistics of the services whose targets report their load. The call is not recorded.
+func (t *Targets) Routing() map[string]target.RoutingStats { return t.chooser.Routing() }
+
 // Level returns the median shed level of the targets of the service. The call is not recorded.
 func (t *Targets) Level(now time.Time, service string) priority.Level {
 	return t.chooser.Level(now, service)
--- a/internal/trace/targetstep.go
+++ b/internal/trace/targetstep.go
@@ -51,6 +51,8 @@
 	Level    *ShedLevel        `json:"level,omitempty"`
 	Load     *load.State       `json:"load,omitempty"`
 	Transit  time.Duration     `json:"transit,omitempty"`
+	// Objective is recorded with a load only.
+	Objective time.Duration `json:"objective,omitempty"`
 }
 
 // Time returns the time of the call since the start of the recording.
@@ -92,7 +94,7 @@
 func newTargetObservation(start time.Time, o target.Observation) *TargetObservation {
 	recorded := &TargetObservation{Kind: o.Kind, Latency: o.Latency, Draining: o.Draining, Level: newShedLevel(start, o.Level)}
 	if o.Load.Known() {
-		recorded.Load, recorded.Transit = &o.Load, o.Transit
+		recorded.Load, recorded.Transit, recorded.Objective = &o.Load, o.Transit, o.Objective
 	}
 	return recorded
 }
@@ -100,7 +102,7 @@
 func (o TargetObservation) observation(start time.Time) target.Observation {
 	observation := target.Observation{Kind: o.Kind, Latency: o.Latency, Draining: o.Draining, Level: o.Level.level(start)}
 	if o.Load != nil {
-		observation.Load, observation.Transit = *o.Load, o.Transit
+		observation.Load, observation.Transit, observation.Objective = *o.Load, o.Transit, o.Objective
 	}
 	return observation
 }
