--- a/internal/membership/target/queueloop_test.go
+++ b/internal/membership/target/queueloop_test.go
@@ -37,6 +37,9 @@
 	distort  func(server int, report load.Report) load.Report // what they tell instead
 	lateness time.Duration                                    // age of what they tell
 	choose   func(daemon int) int                             // nil is the chooser of the daemon
+	exclude  func(daemon int) []string                        // servers that the daemon doesn't use
+	onFinish func(server int)
+	onAnswer func(daemon, server int, state load.State)
 	onSpill  func(target.SpillEvent)
 	hot      float64 // share of the calls that arrive in the first failure domain beside its part
 	aim      time.Duration
@@ -157,7 +160,11 @@
 	if l.choose != nil {
 		server = l.choose(daemon)
 	} else {
-		choice, ok, _ := l.daemons[daemon].Choose(start.Add(l.now), l.random.Uint64(), "wind", priority.Origin{}, nil)
+		var exclude []string
+		if l.exclude != nil {
+			exclude = l.exclude(daemon)
+		}
+		choice, ok, _ := l.daemons[daemon].Choose(start.Add(l.now), l.random.Uint64(), "wind", priority.Origin{}, exclude)
 		if !ok {
 			panic("no target")
 		}
@@ -200,6 +207,9 @@
 		s.meter.Observe(now.Add(-l.lateness), 1, report, l.now-call.begun)
 		state = s.meter.State(now, s.running, len(s.queue), loopSlots)
 	}
+	if l.onFinish != nil {
+		l.onFinish(call.server)
+	}
 	handling := l.now - call.sentAt - loopTransit
 	l.at(loopTransit, func() { l.answer(call, handling, state) })
 	if len(s.queue) > 0 {
@@ -212,6 +222,9 @@
 func (l *queueLoop) answer(call loopCall, handling time.Duration, state load.State) {
 	latency := l.now - call.sentAt
 	l.took = append(l.took, latency)
+	if l.onAnswer != nil {
+		l.onAnswer(call.daemon, call.server, state)
+	}
 	l.daemons[call.daemon].Answered(start.Add(l.now), l.servers[call.server].name, target.Observation{
 		Kind: target.OK, Latency: latency, Load: state, Transit: latency - handling, Objective: l.aim,
 	})
