--- a/internal/backend/connection/pool.go
+++ b/internal/backend/connection/pool.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -17,6 +18,10 @@
 	mu          sync.Mutex
 	address     netip.AddrPort
 	idle        []*persistentConn // in order of last use, the most recent one last
+	waiters     []*waiter         // in order of arrival
+	returns     returns
+	wait        atomic.Int64 // nanoseconds, see SetWait
+	counters    counters
 }
 
 // NewPool returns an empty pool.
@@ -65,9 +70,14 @@
 	for {
 		conn := p.popIdle(address, key)
 		if conn == nil {
-			return p.dial(ctx, address)
+			if conn = p.awaitReturned(ctx, address, key); conn == nil {
+				p.counters.opened.Add(1)
+				return p.dial(ctx, address)
+			}
+			p.counters.awaited.Add(1)
 		}
 		if conn.usable(time.Now()) {
+			p.counters.reused.Add(1)
 			return conn, nil
 		}
 		conn.close()
@@ -83,6 +93,12 @@
 		go closeAll(p.idle)
 		p.idle, p.address = nil, address
 	}
+	return p.takeIdle(key)
+}
+
+// takeIdle removes and returns the most recently used idle connection that has not carried key, or nil. The caller must
+// hold p.mu.
+func (p *Pool) takeIdle(key string) *persistentConn {
 	for i, conn := range slices.Backward(p.idle) {
 		if !conn.hasCarried(key) {
 			p.idle = slices.Delete(p.idle, i, i+1)
@@ -95,11 +111,17 @@
 // putIdle adds a connection after a complete exchange. It closes the connection if the pool is full or has changed to
 // another address.
 func (p *Pool) putIdle(conn *persistentConn) {
+	now := time.Now()
 	p.mu.Lock()
+	p.returns.observe(now)
+	if p.handOver(conn) {
+		p.mu.Unlock()
+		return
+	}
 	keep := p.address == conn.address && len(p.idle) < maxIdleConnections
 	var stale []*persistentConn
 	if keep {
-		stale = p.removeStale(time.Now())
+		stale = p.removeStale(now)
 		p.idle = append(p.idle, conn)
 	}
 	p.mu.Unlock()
--- a/internal/backend/connection/pool_test.go
+++ b/internal/backend/connection/pool_test.go
@@ -88,6 +88,62 @@
 	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
 
+// TestRequestsInABurstAwaitReturnedConnections sends a second request while the only connection is in use. Connections
+// have been returned often, so that the request waits for this one, but only for as long as it may.
+func TestRequestsInABurstAwaitReturnedConnections(t *testing.T) {
+	for _, test := range []struct {
+		wait   time.Duration
+		opened int32
+	}{{0, 2}, {time.Second / 100, 2}, {time.Minute, 1}} {
+		release := make(chan struct{})
+		s := startServer(t, func(conn net.Conn, _ int, request *http.Request) bool {
+			if request.Header.Get(headerID) == "slow" {
+				<-release
+			}
+			writeResponse(conn, request.Header.Get(headerID), "ok")
+			return true
+		})
+		pool := connection.NewPool()
+		pool.SetWait(test.wait)
+		for i := range 3 {
+			if _, err := send(t, pool, s, fmt.Sprint(i), nil); err != nil {
+				t.Fatal(err)
+			}
+		}
+		request := func(id string) <-chan error {
+			done := make(chan error, 1)
+			go func() {
+				_, err := send(t, pool, s, id, nil)
+				done <- err
+			}()
+			return done
+		}
+		slow := request("slow")
+		for pool.Stats().Reused < 3 {
+			time.Sleep(time.Millisecond)
+		}
+		second := request("second")
+		for pool.Stats().Waiting == 0 && s.accepted.Load() == 1 {
+			time.Sleep(time.Millisecond)
+		}
+		if test.opened == 1 {
+			close(release)
+		}
+		if err := <-second; err != nil {
+			t.Error(err)
+		}
+		if test.opened == 2 {
+			close(release)
+		}
+		if err := <-slow; err != nil {
+			t.Error(err)
+		}
+		if got := s.accepted.Load(); got != test.opened {
+			t.Errorf("waits for %s: %d connections, want %d", test.wait, got, test.opened)
+		}
+	}
+}
+
 func TestConnectionsAreKept(t *testing.T) {
 	s := startServer(t, func(conn net.Conn, _ int, r *http.Request) bool {
 		writeResponse(conn, r.Header.Get(headerID), "own")
--- a/internal/daemon/reportload.go
+++ b/internal/daemon/reportload.go
@@ -21,6 +21,9 @@
 	if !stated {
 		return
 	}
+	if report.Slowness > 0 {
+		r.daemon.backend.connections.SetWait(r.daemon.settings.ConnectionWait)
+	}
 	var took time.Duration
 	if verdict == dialect.Valid && response.StatusCode < http.StatusInternalServerError {
 		took = now.Sub(r.sentAt)
@@ -48,6 +51,7 @@
 // publishRouting registers the metrics of the choice by load reports.
 func (d *Daemon) publishRouting() {
 	d.counters.vars.Set("routing", expvar.Func(func() any { return d.chooser.Routing() }))
+	d.counters.vars.Set("connections", expvar.Func(func() any { return d.backend.connections.Stats() }))
 	d.counters.vars.Set("load-reports", expvar.Func(func() any { return d.loadMeter.Reports() }))
 }
 
--- a/internal/settings/checker.go
+++ b/internal/settings/checker.go
@@ -22,6 +22,7 @@
 	minHeartbeatsPerElection = 3
 	maxMembers               = 7
 	maxFarCost               = 100
+	maxConnectionWait        = time.Second
 )
 
 // checker collects the problems of one settings file.
--- a/internal/settings/checkprocess.go
+++ b/internal/settings/checkprocess.go
@@ -27,6 +27,7 @@
 	if d.FarCost < 1 || d.FarCost > maxFarCost {
 		c.report("far-cost", fmt.Sprint(d.FarCost), "a number from 1 to 100")
 	}
+	c.checkDuration("connection-wait", d.ConnectionWait, 0, maxConnectionWait)
 	c.checkDuration("coasting", d.Coasting, 0, maxFreshness)
 	c.checkTimeouts(d.Timeouts)
 	c.checkLog(d.Log)
--- a/internal/settings/daemon.go
+++ b/internal/settings/daemon.go
@@ -28,6 +28,9 @@
 	Freshness       time.Duration    `toml:"freshness"`
 	// FarCost is the factor by which the cost of a target in another failure domain is multiplied.
 	FarCost float64 `toml:"far-cost"`
+	// ConnectionWait is how long a request waits for a connection to a backend server that states its pace, rather than
+	// open a new one, if one is expected to be returned meanwhile.
+	ConnectionWait time.Duration `toml:"connection-wait"`
 	// Coasting is how long workspaces may spend at their recently observed rate while no leader grants tokens.
 	Coasting time.Duration `toml:"coasting"`
 	Timeouts Timeouts      `toml:"timeouts"`
