--- a/internal/membership/target/member.go
+++ b/internal/membership/target/member.go
@@ -64,11 +64,3 @@
 	}
 	return *l, now.Before(l.ValidUntil)
 }
-
-func (m *member) shedShare(now time.Time, origin priority.Origin) float64 {
-	l := m.level.Load()
-	if l == nil {
-		return 0
-	}
-	return l.ShareAt(now, origin)
-}
--- a/internal/membership/target/selection.go
+++ b/internal/membership/target/selection.go
@@ -66,9 +66,14 @@
 	if m.drained.Load() || excluded(target.Name, exclude) || s.chooser.isSilent(m, s.at) {
 		return tierExcluded
 	}
-	share := m.shedShare(s.now, s.origin)
-	s.minShedShare = min(s.minShedShare, share)
-	if s.origin.ShedBy(share) {
+	share := 0.0
+	if level := m.level.Load(); level != nil {
+		share = level.ShareAt(s.now, s.origin)
+	}
+	if share < s.minShedShare {
+		s.minShedShare = share
+	}
+	if share > 0 && s.origin.ShedBy(share) {
 		s.shedCount++
 		return tierExcluded
 	}
@@ -79,7 +84,7 @@
 		return tierWarming
 	case target.FailureDomain != s.chooser.failureDomain:
 		return tierServing
-	case s.underPressure(m):
+	case s.routing == nil && s.underPressure(m):
 		return tierOwnDomainPressed
 	default:
 		return tierOwnDomain
@@ -113,14 +118,9 @@
 	if level := m.level.Load(); level != nil && s.now.Before(level.ValidUntil) {
 		return true
 	}
-	if m.refusedShare.recentShare(s.at, refusalWindow) > pressureRefusedShare {
-		return true
-	}
-	if s.routing != nil {
-		return false // the expected completion tells more than a latency, which also differs by the work of the calls
-	}
 	latency := m.expectedLatency(s.at)
-	return latency > pressureLatencyMultiple*m.bestLatency.Load()+int64(pressureLatencySlack)
+	return latency > pressureLatencyMultiple*m.bestLatency.Load()+int64(pressureLatencySlack) ||
+		m.refusedShare.recentShare(s.at, refusalWindow) > pressureRefusedShare
 }
 
 // pick returns the cheaper of two random members of the most preferred tier that has members. It returns nil rather
@@ -148,39 +148,40 @@
 // pickByLocality returns the cheaper of two random members of the own failure domain, or of the others for the share of
 // calls that leaves it. It returns nil if one of both sides has no members that can serve.
 func (s *selection) pickByLocality(random uint64) *member {
-	near := s.counts[tierOwnDomain] + s.counts[tierOwnDomainPressed]
+	near := s.counts[tierOwnDomain]
 	far := s.counts[tierServing] - near
 	switch {
 	case near == 0 || far == 0:
 		return nil
 	case s.routing.spill.Leaves(random):
-		return s.pickBetween(tierServing, tierServing, far, random)
+		return s.pickOf(tierServing, far, random)
 	default:
-		return s.pickBetween(tierOwnDomain, tierOwnDomainPressed, near, random)
+		return s.pickOf(tierOwnDomain, near, random)
 	}
 }
 
-// pickBetween returns the cheaper of two random members of the n members of the tiers from low to high.
-func (s *selection) pickBetween(low, high tier, n int, random uint64) *member {
-	if n == 1 {
-		return s.nthBetween(low, high, 0)
+// pickOf returns the cheaper of two random ones of the n members whose own tier is t.
+func (s *selection) pickOf(t tier, n int, random uint64) *member {
+	a, b := int(uint32(random))%n, 0
+	if n > 1 {
+		b = (a + 1 + int(random>>32)%(n-1)) % n
 	}
-	first, second := int(uint32(random)), int(random>>32)
-	return s.cheaper(s.nthBetween(low, high, first%n), s.nthBetween(low, high, (first%n+1+second%(n-1))%n))
-}
-
-// nthBetween returns the nth member of the tiers from low to high.
-func (s *selection) nthBetween(low, high tier, n int) *member {
+	var first, second *member
 	for i, m := range s.members {
-		if t := s.tierAt(i); t < low || t > high {
+		if s.tierAt(i) != t {
 			continue
 		}
-		if n == 0 {
-			return m
+		if a == 0 {
+			first = m
+		}
+		if b == 0 {
+			second = m
+		}
+		if a, b = a-1, b-1; a < 0 && b < 0 {
+			break
 		}
-		n--
 	}
-	return nil
+	return s.cheaper(first, second)
 }
 
 // pickFromTier returns the cheaper of two random members of tier t. If other failure domains cost more and the own one
