--- a/internal/backend/connection/waiter.go
+++ b/internal/backend/connection/waiter.go
@@ -52,7 +52,10 @@
 	}
 	w := &waiter{address: address, key: key, conn: make(chan *persistentConn, 1)}
 	p.mu.Lock()
-	conn := p.takeIdle(key) // returned meanwhile
+	var conn *persistentConn
+	if p.address == address {
+		conn = p.takeIdle(key) // returned meanwhile
+	}
 	if conn != nil || !p.returns.expected(time.Now(), len(p.waiters)+1, wait) {
 		p.mu.Unlock()
 		return conn
