--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -77,6 +77,7 @@
 	d.counters.vars.Set("admission", expvar.Func(func() any { return d.admitter.stats(time.Now()) }))
 	d.counters.vars.Set("pace", expvar.Func(func() any { return d.pace.stats() }))
 	d.latencies.publish(d.counters.vars)
+	d.publishRouting()
 	d.counters.vars.Set("readiness", expvar.Func(func() any { return d.readiness(boottime.Now()) }))
 	d.counters.vars.Set("fallback-tokens", expvar.Func(func() any { return d.holder.FallbackTokens() }))
 	d.counters.vars.Set("in-flight", expvar.Func(func() any { return d.inFlight.current() }))
--- a/internal/daemon/report.go
+++ b/internal/daemon/report.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"sapphirespread.example/internal/backend/load"
 	"sapphirespread.example/internal/message"
 	"sapphirespread.example/internal/peer/peerpb"
 	"sapphirespread.example/priority"
@@ -17,6 +18,7 @@
 	crashedTarget   string
 	pace            int           // see target.Target, 0 if unknown
 	handlingTime    time.Duration // from the receipt of the call until the report, zero if unknown
+	load            load.State
 }
 
 func encodeReport(report callReport, now time.Time) *peerpb.CallReport {
@@ -28,6 +30,7 @@
 		Deeper:          encodeLevel(report.downstream, now),
 		Pace:            uint32(report.pace),
 		HandlingUs:      report.handlingTime.Microseconds(),
+		Load:            encodeLoad(report.load),
 	}
 }
 
@@ -40,5 +43,6 @@
 		downstream:      decodeLevel(encoded.GetDeeper(), now),
 		pace:            message.DecodePace(encoded.GetPace()),
 		handlingTime:    time.Duration(encoded.GetHandlingUs()) * time.Microsecond,
+		load:            decodeLoad(encoded.GetLoad()),
 	}
 }
--- a/internal/membership/target/member.go
+++ b/internal/membership/target/member.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"sapphirespread.example/internal/routing/completion"
 	"sapphirespread.example/priority"
 )
 
@@ -27,14 +28,16 @@
 	erroredShare movingShare
 	level        atomic.Pointer[priority.Level]
 	pace         reportedPace
+	completion   completion.Estimator
+	routing      *serviceRouting
 
 	mu                  sync.Mutex
 	consecutiveFailures int
 	ejectionBackoff     int
 }
 
-func newMember(t Target, needsSlowStart bool) *member {
-	m := &member{needsSlowStart: needsSlowStart}
+func newMember(t Target, needsSlowStart bool, routing *serviceRouting) *member {
+	m := &member{needsSlowStart: needsSlowStart, routing: routing}
 	m.announced.Store(&t)
 	m.drained.Store(t.State == Draining)
 	m.pace.announce(t.Pace)
@@ -66,11 +69,3 @@
 	}
 	return *l, now.Before(l.ValidUntil)
 }
-
-func (m *member) shedShare(now time.Time, origin priority.Origin) float64 {
-	l := m.level.Load()
-	if l == nil {
-		return 0
-	}
-	return l.ShareAt(now, origin)
-}
--- a/internal/membership/target/observation.go
+++ b/internal/membership/target/observation.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"sapphirespread.example/internal/backend/load"
 	"sapphirespread.example/priority"
 )
 
@@ -26,6 +27,12 @@
 	Draining bool
 	// Pace is the pace that the target reported, see Target.Pace, or 0 if the answer doesn't tell.
 	Pace int `json:",omitempty"`
+	// Load is the load that the target reported, or the zero value.
+	Load load.State
+	// Objective is the latency objective of the call, or 0 if it has none.
+	Objective time.Duration
+	// Transit is the part of the latency that was not spent at the target, or 0 if unknown.
+	Transit time.Duration
 	// Incarnation is the incarnation that answered, or 0 if unknown.
 	Incarnation uint64 `json:"-"`
 }
