--- /dev/null
+++ b/internal/admission/tree/gate.go
@@ -0,0 +1,135 @@
+package tree
+
+import (
+	"time"
+
+	"sapphirespread.example/internal/admission/room"
+	"sapphirespread.example/priority"
+)
+
+// holdEndDelay is the time without a refusal after which a service counts as no longer short of room. It keeps the
+// events few where the demand is about what the service has room for.
+const holdEndDelay = 5 * time.Second
+
+// A Gate decides which root requests begin. It refuses one that a service below has no room for, before its first call,
+// so that nothing is spent on it. Roots of an unknown callee, and those whose services have sent no report lately, begin.
+// The caller must serialize all calls with one lock.
+type Gate struct {
+	model  *Model
+	board  *room.Board
+	events func(Event)
+	holds  map[string]*hold
+}
+
+// hold counts the root requests that were refused for one service.
+type hold struct {
+	refused  uint64
+	slotTime time.Duration // that the refused roots would have taken
+	last     time.Time
+	active   bool
+}
+
+// An Event says that root requests begin or cease to be held back for a service.
+type Event struct {
+	Service  string
+	Holding  bool
+	Callee   priority.Callee // of the request that caused the event
+	Expected Cost            // of that request at the service
+	Refused  uint64          // for the service, since the start
+}
+
+// A Decision is whether a root request may begin. Service is the one without room for it, empty if it may begin. Shed is
+// the share of the requests with its priority and workspace that are held back.
+type Decision struct {
+	Service string
+	Shed    float64
+}
+
+// Held is what was refused for one service since the start.
+type Held struct {
+	Requests uint64        `json:"requests"`
+	SlotTime time.Duration `json:"slot-time-ns"` // that they would have taken at the service
+	Now      bool          `json:"now"`
+}
+
+// A GateOption configures a Gate.
+type GateOption func(*Gate)
+
+// WithEvents makes the gate call handle at each event.
+func WithEvents(handle func(Event)) GateOption {
+	return func(g *Gate) { g.events = handle }
+}
+
+// NewGate returns a Gate without observations, which refuses nothing.
+func NewGate(options ...GateOption) *Gate {
+	g := &Gate{model: NewModel(), board: room.NewBoard(), events: func(Event) {}, holds: make(map[string]*hold)}
+	for _, option := range options {
+		option(g)
+	}
+	return g
+}
+
+// Decide decides whether a root request to callee may begin.
+func (g *Gate) Decide(now time.Time, callee priority.Callee, origin priority.Origin) Decision {
+	var decision Decision
+	for _, cost := range g.model.Expected(callee) {
+		share := g.board.Cut(cost.Service).ShareAt(now, origin)
+		decision.Shed = max(decision.Shed, share)
+		if decision.Service == "" && origin.ShedBy(share) {
+			decision.Service = cost.Service
+			g.refused(now, callee, cost)
+		} else if h := g.holds[cost.Service]; h != nil && h.active && now.Sub(h.last) > holdEndDelay {
+			h.active = false
+			g.events(Event{Service: cost.Service, Callee: callee, Expected: cost, Refused: h.refused})
+		}
+	}
+	return decision
+}
+
+func (g *Gate) refused(now time.Time, callee priority.Callee, cost Cost) {
+	h := g.holds[cost.Service]
+	if h == nil {
+		h = &hold{}
+		g.holds[cost.Service] = h
+	}
+	h.refused++
+	h.slotTime += cost.SlotTime
+	h.last = now
+	if !h.active {
+		h.active = true
+		g.events(Event{Service: cost.Service, Holding: true, Callee: callee, Expected: cost, Refused: h.refused})
+	}
+}
+
+// Observe records what one call of callee that was answered well has cost.
+func (g *Gate) Observe(callee priority.Callee, costs []Cost) {
+	g.model.Observe(callee, costs)
+}
+
+// Record adds the report of a target.
+func (g *Gate) Record(now time.Time, r room.Report) {
+	g.board.Record(now, r)
+}
+
+// Reports returns the latest report of each service below callee that its calls need.
+func (g *Gate) Reports(now time.Time, callee priority.Callee) []room.Report {
+	var reports []room.Report
+	for _, cost := range g.model.Expected(callee) {
+		if cost.Service == callee.Service {
+			continue
+		}
+		if r, counts := g.board.Latest(now, cost.Service); counts {
+			reports = append(reports, r)
+		}
+	}
+	return reports
+}
+
+// Held returns what was refused, by service.
+func (g *Gate) Held() map[string]Held {
+	held := make(map[string]Held, len(g.holds))
+	for service, h := range g.holds {
+		held[service] = Held{Requests: h.refused, SlotTime: h.slotTime, Now: h.active}
+	}
+	return held
+}
--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"sapphirespread.example/internal/admission/tree"
 	"sapphirespread.example/priority"
 	"sapphirespread.example/quarantine"
 	"sapphirespread.example/retry"
@@ -46,6 +47,7 @@
 	parent           *call
 	mu               sync.Mutex
 	succeededCallees []priority.Callee
+	costsBelow       []tree.Cost // of the nested calls that succeeded
 	history          requestHistory
 }
 
@@ -89,6 +91,20 @@
 	return c.succeededCallees
 }
 
+// addCosts records the costs of a nested call of c that succeeded.
+func (c *call) addCosts(costs []tree.Cost) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.costsBelow = tree.AddCosts(c.costsBelow, costs...)
+}
+
+// costs returns the costs of c, which held a slot at its target for slotTime, with those of its nested calls.
+func (c *call) costs(slotTime time.Duration) []tree.Cost {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return tree.AddCosts([]tree.Cost{{Service: c.service, Calls: 1, SlotTime: slotTime}}, c.costsBelow...)
+}
+
 // claimHash returns the request hash that the target compares with those of resends, or nil if the call needs no claim.
 func (c *call) claimHash() []byte {
 	if !c.needsClaim {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -58,6 +58,7 @@
 	admitter         *admitter
 	downstream       *downstreamLevels
 	throttle         *entryThrottle
+	scarce           *scarceServices
 	budgets          *budgets
 	resendTracker    *retry.ResendTracker
 	inFlightRuns     fingerprintTracker
@@ -109,6 +110,7 @@
 	d.ring = timeline.NewRing(d.clock, s.Name, timelineSize)
 	d.backend = newBackend(d.incarnation, s.Timeouts.Announcement)
 	d.budgets = newBudgets(d.recorder)
+	d.scarce = newScarceServices(d.logger, s.ScarceServices)
 	d.initDecisions()
 	d.downstream = newDownstreamLevels(d.chooser)
 	d.throttle = newEntryThrottle(d.logger)
--- a/internal/daemon/decisions.go
+++ b/internal/daemon/decisions.go
@@ -85,7 +85,7 @@
 func (d *Daemon) initDecisions() {
 	targets := target.NewTable(target.WithTableEvents(d.logTargetChange))
 	selector := target.NewChooser(targets, target.WithFailureDomain(d.settings.FailureDomain), target.WithDaemon(d.settings.Name), target.WithCrossDomainCost(d.settings.FarCost))
-	admissionControl := priority.NewAdmission()
+	admissionControl := priority.NewAdmission(d.scarce.admissionOptions()...)
 	tokens := limit.NewHolder(limit.WithFallbackSpending(d.settings.Coasting), limit.WithFallbackEvents(d.logFallback))
 	list, inFlight := quarantine.NewList(), quarantine.NewInFlight()
 	if d.recorder == nil {
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -73,6 +73,9 @@
 
 // checkShedding refuses c if it would be shed before it is sent, so that it costs its workspace no token.
 func (d *Daemon) checkShedding(c *call) *attemptError {
+	if refused := d.scarce.check(c); refused != nil {
+		return refused
+	}
 	_, refused := d.choose(c, nil)
 	if refused != nil && refused.kind == refusal.Overloaded {
 		return refused
@@ -84,11 +87,17 @@
 func (d *Daemon) choose(c *call, tried []string) (target.Choice, *attemptError) {
 	now := time.Now()
 	origin := c.origin()
-	downstreamShare := d.downstream.reportedLevel(c.callee()).ShareAt(now, origin)
-	if origin.ShedBy(downstreamShare) {
-		return target.Choice{}, refuse(refusal.Overloaded, "a deeper service sheds it")
+	if d.scarce.enabled() {
+		if c.nested {
+			origin = origin.Begun()
+		}
+	} else {
+		downstreamShare := d.downstream.reportedLevel(c.callee()).ShareAt(now, origin)
+		if origin.ShedBy(downstreamShare) {
+			return target.Choice{}, refuse(refusal.Overloaded, "a deeper service sheds it")
+		}
+		c.shedShare = max(c.shedShare, downstreamShare)
 	}
-	c.shedShare = max(c.shedShare, downstreamShare)
 	chosen, found, shed := d.chooser.Choose(now, rand.Uint64(), c.service, origin, tried)
 	if !found && len(tried) > 0 && !shed {
 		chosen, found, shed = d.chooser.Choose(now, rand.Uint64(), c.service, origin, nil)
@@ -225,6 +234,7 @@
 		a.daemon.returnTimes.observe(now, a.target.Peer, now.Sub(a.sentAt)-handling)
 	}
 	a.daemon.downstream.recordLevel(a.call.callee(), a.report.downstream)
+	a.daemon.scarce.recordReport(now, a)
 	if a.kind == target.OK {
 		a.daemon.budget(a.call.service).Success(now)
 	}
--- a/internal/daemon/local.go
+++ b/internal/daemon/local.go
@@ -324,7 +324,11 @@
 	}
 	serviceTime := time.Since(r.admittedAt)
 	r.daemon.admitter.finish(r.call.admissionID, priority.Result{Latency: serviceTime, Failed: inconclusive || r.serverError || crashedTarget != ""})
-	r.done(r.daemon.reportOf(r.call, crashedTarget))
+	report := r.daemon.reportOf(r.call, crashedTarget)
+	if !inconclusive && !r.serverError && crashedTarget == "" {
+		report.costs = r.daemon.scarce.recordRun(r.call, serviceTime)
+	}
+	r.done(report)
 }
 
 // reportOf returns this target's report at the end of c, with the unused allowance, which it takes from c.
@@ -336,5 +340,6 @@
 		downstream:      d.downstream.currentLevel(now, c.route),
 		draining:        d.draining(),
 		crashedTarget:   crashedTarget,
+		rooms:           d.scarce.rooms(now, c.callee()),
 	}
 }
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -75,6 +75,7 @@
 // publishGauges registers the metrics that are computed when they are read.
 func (d *Daemon) publishGauges() {
 	d.counters.vars.Set("admission", expvar.Func(func() any { return d.admitter.stats(time.Now()) }))
+	d.counters.vars.Set("scarce-services", expvar.Func(func() any { return d.scarce.held() }))
 	d.latencies.publish(d.counters.vars)
 	d.counters.vars.Set("readiness", expvar.Func(func() any { return d.readiness(boottime.Now()) }))
 	d.counters.vars.Set("fallback-tokens", expvar.Func(func() any { return d.holder.FallbackTokens() }))
--- a/internal/daemon/report.go
+++ b/internal/daemon/report.go
@@ -1,8 +1,11 @@
 package daemon
 
 import (
+	"slices"
 	"time"
 
+	"sapphirespread.example/internal/admission/room"
+	"sapphirespread.example/internal/admission/tree"
 	"sapphirespread.example/internal/peer/peerpb"
 	"sapphirespread.example/priority"
 )
@@ -15,6 +18,43 @@
 	draining        bool
 	crashedTarget   string
 	handlingTime    time.Duration // from the receipt of the call until the report, zero if unknown
+	costs           []tree.Cost   // of the call at each service that it reached, if it was answered well
+	rooms           []room.Report // of the services below
+}
+
+// maxReachedServices is the number of services that a report may name.
+const maxReachedServices = 16
+
+// encodeReached encodes the costs and the rooms of a report by service.
+func encodeReached(report callReport, now time.Time) []*peerpb.ReachedService {
+	var reached []*peerpb.ReachedService
+	for _, cost := range report.costs {
+		reached = append(reached, &peerpb.ReachedService{
+			Service: cost.Service, Calls: uint32(cost.Calls), SlotUs: cost.SlotTime.Microseconds(),
+		})
+	}
+	for _, r := range report.rooms {
+		i := slices.IndexFunc(reached, func(s *peerpb.ReachedService) bool { return s.GetService() == r.Service })
+		if i < 0 {
+			i = len(reached)
+			reached = append(reached, &peerpb.ReachedService{Service: r.Service})
+		}
+		reached[i].Target, reached[i].Level = uint32(r.Target), encodeLevel(r.Cut, now)
+	}
+	return reached[:min(len(reached), maxReachedServices)]
+}
+
+// decodeReached adds the costs and the rooms that a peer reported to report.
+func decodeReached(reached []*peerpb.ReachedService, now time.Time, report *callReport) {
+	for _, s := range reached[:min(len(reached), maxReachedServices)] {
+		if s.GetCalls() > 0 && s.GetSlotUs() >= 0 {
+			slotTime := time.Duration(s.GetSlotUs()) * time.Microsecond
+			report.costs = append(report.costs, tree.Cost{Service: s.GetService(), Calls: float64(s.GetCalls()), SlotTime: slotTime})
+		}
+		if level := decodeLevel(s.GetLevel(), now); !level.ValidUntil.IsZero() {
+			report.rooms = append(report.rooms, room.Report{Service: s.GetService(), Target: room.TargetHash(s.GetTarget()), Cut: level})
+		}
+	}
 }
 
 func encodeReport(report callReport, now time.Time) *peerpb.CallReport {
@@ -25,11 +65,12 @@
 		Level:           encodeLevel(report.level, now),
 		Deeper:          encodeLevel(report.downstream, now),
 		HandlingUs:      report.handlingTime.Microseconds(),
+		Reached:         encodeReached(report, now),
 	}
 }
 
 func decodeReport(encoded *peerpb.CallReport, now time.Time) callReport {
-	return callReport{
+	report := callReport{
 		unusedAllowance: int(encoded.GetUnusedAllowance()),
 		draining:        encoded.GetDraining(),
 		crashedTarget:   encoded.GetCrashedTarget(),
@@ -37,4 +78,6 @@
 		downstream:      decodeLevel(encoded.GetDeeper(), now),
 		handlingTime:    time.Duration(encoded.GetHandlingUs()) * time.Microsecond,
 	}
+	decodeReached(encoded.GetReached(), now, &report)
+	return report
 }
--- /dev/null
+++ b/internal/daemon/scarceservices.go
@@ -0,0 +1,112 @@
+package daemon
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"sapphirespread.example/internal/admission/room"
+	"sapphirespread.example/internal/admission/tree"
+	"sapphirespread.example/internal/membership/target"
+	"sapphirespread.example/priority"
+	"sapphirespread.example/refusal"
+)
+
+// scarceServices refuses requests of callers that a service further down has no room for, before their first call. It
+// does nothing unless the settings ask for it.
+type scarceServices struct {
+	on   bool
+	mu   sync.Mutex
+	gate *tree.Gate
+}
+
+func newScarceServices(logger zerolog.Logger, on bool) *scarceServices {
+	return &scarceServices{on: on, gate: tree.NewGate(tree.WithEvents(func(e tree.Event) { logHold(logger, e) }))}
+}
+
+// logHold logs that requests begin or cease to be held back for a service.
+func logHold(logger zerolog.Logger, e tree.Event) {
+	text := "entry: requests are no longer held back for a service"
+	if e.Holding {
+		text = "entry: requests are held back for a service without room"
+	}
+	logger.Info().Str("service", e.Service).Str("called-service", e.Callee.Service).Str("route", e.Callee.Route).
+		Float64("calls", e.Expected.Calls).Dur("slot-ms", e.Expected.SlotTime).Uint64("refused", e.Refused).Msg(text)
+}
+
+func (s *scarceServices) enabled() bool { return s.on }
+
+// admissionOptions returns the options of the admission at the own target.
+func (s *scarceServices) admissionOptions() []priority.AdmissionOption {
+	if !s.on {
+		return nil
+	}
+	return []priority.AdmissionOption{priority.WithTreeDemand(), priority.WithBegunFirst()}
+}
+
+// check returns a refusal if c is a root request that a service below has no room for, or nil.
+func (s *scarceServices) check(c *call) *attemptError {
+	if !s.on || c.nested {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	decision := s.gate.Decide(time.Now(), c.callee(), c.origin())
+	if decision.Service != "" {
+		return refuse(refusal.Overloaded, "no room below in "+decision.Service)
+	}
+	c.shedShare = max(c.shedShare, decision.Shed)
+	return nil
+}
+
+// recordReport records what the target of an attempt reported. The caller must hold a.mu.
+func (s *scarceServices) recordReport(now time.Time, a *attempt) {
+	reached := a.report.handlingTime > 0 || a.daemon.isOwn(a.target)
+	if !s.on || !reached {
+		return
+	}
+	c := a.call
+	succeeded := a.kind == target.OK && len(a.report.costs) > 0
+	if succeeded && c.parent != nil {
+		c.parent.addCosts(a.report.costs)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if succeeded && !a.daemon.isOwn(a.target) {
+		s.gate.Observe(c.callee(), a.report.costs)
+	}
+	s.gate.Record(now, room.NewReport(now, c.service, a.target.Name, a.report.level))
+	for _, r := range a.report.rooms {
+		s.gate.Record(now, r)
+	}
+}
+
+// recordRun records and returns the costs of a run at the own target that was answered well.
+func (s *scarceServices) recordRun(c *call, slotTime time.Duration) []tree.Cost {
+	if !s.on {
+		return nil
+	}
+	costs := c.costs(slotTime)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gate.Observe(c.callee(), costs)
+	return costs
+}
+
+// rooms returns what the services below that calls to callee need have room for.
+func (s *scarceServices) rooms(now time.Time, callee priority.Callee) []room.Report {
+	if !s.on {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gate.Reports(now, callee)
+}
+
+// held returns the requests that were held back, by service.
+func (s *scarceServices) held() map[string]tree.Held {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gate.Held()
+}
--- a/internal/settings/daemon.go
+++ b/internal/settings/daemon.go
@@ -30,9 +30,12 @@
 	FarCost float64 `toml:"far-cost"`
 	// Coasting is how long workspaces may spend at their recently observed rate while no leader grants tokens.
 	Coasting time.Duration `toml:"coasting"`
-	Timeouts Timeouts      `toml:"timeouts"`
-	Log      Log           `toml:"log"`
-	TLS      TLS           `toml:"tls"`
+	// ScarceServices makes the daemon refuse requests of callers before their first call if a service that they need
+	// further down has no room for them.
+	ScarceServices bool     `toml:"scarce-services"`
+	Timeouts       Timeouts `toml:"timeouts"`
+	Log            Log      `toml:"log"`
+	TLS            TLS      `toml:"tls"`
 }
 
 // LoadDaemon loads and checks the settings file of a daemon and returns all problems as configuration.Problems.
--- a/priority/admission.go
+++ b/priority/admission.go
@@ -14,6 +14,7 @@
 	tickInterval     = 10 * time.Millisecond
 
 	nestedWaitServiceTimes = 2 // in expected service times
+	begunWaitServiceTimes  = 8 // the same if what has begun goes first, since its entry held back what has no room
 	nestedWaitSlackDivisor = 4 // of the time left before the latest start that meets the deadline
 	minQueueWait           = 10 * time.Millisecond
 	// A request waits at most 1/objectiveWaitDivisor of its latency objective. An answer after a longer wait is late, so
@@ -83,7 +84,7 @@
 	}
 	a.limiter.runEnded(now, result, len(a.running), a.queue.len() > 0)
 	delete(a.running, id)
-	a.shedder.runCompleted(result.Latency)
+	a.shedder.runCompleted(route, result.Latency)
 	if !result.Failed {
 		a.serviceTimes.observe(now, route, result.Latency)
 	}
@@ -230,6 +231,9 @@
 	}
 	service := a.serviceTimes.expected(now, r.Route)
 	bound := nestedWaitServiceTimes * service
+	if a.queue.begunFirst {
+		bound = begunWaitServiceTimes * service
+	}
 	if !r.Deadline.IsZero() {
 		bound = min(bound, (r.Deadline.Sub(now)-service)/nestedWaitSlackDivisor)
 	}
@@ -239,7 +243,7 @@
 // advanceWindow closes the shedder's window if it has ended, and refuses waiting requests of the priorities
 // that the new level sheds entirely.
 func (a *Admission) advanceWindow(now time.Time, verdicts []Verdict) []Verdict {
-	if !a.shedder.advance(now, load{a.queue.len(), a.limiter.current(), a.hasFreeSlot()}) {
+	if !a.shedder.advance(now, load{a.queue.len(), a.shedderLimit(), a.hasFreeSlot()}) {
 		return verdicts
 	}
 	lowest, bounded := a.lowestQueueablePriority()
@@ -253,6 +257,15 @@
 	return verdicts
 }
 
+// shedderLimit returns the limit by which the shedder works out the capacity. A level for call trees outlasts a trial of
+// another limit, so it ignores trials, and counts on no more than the announced slots unless more requests run.
+func (a *Admission) shedderLimit() int {
+	if a.shedder.slotTimes != nil {
+		return max(len(a.running), min(a.limiter.steady(), a.limiter.slots))
+	}
+	return a.limiter.current()
+}
+
 // lowestQueueablePriority returns the least important priority that may wait, and whether there is such a
 // bound. If upstream daemons shed part of a priority, there is no capacity for less important ones.
 func (a *Admission) lowestQueueablePriority() (priority int, bounded bool) {
--- a/priority/bestlatency.go
+++ b/priority/bestlatency.go
@@ -12,6 +12,7 @@
 type bestLatency struct {
 	latency  time.Duration
 	inFlight float64
+	byMean   bool // inFlight is a mean without the part that stretched the latency, and not a peak
 }
 
 // observe updates the best latency from the mean latency of a window. The best latency drifts upwards so
@@ -22,7 +23,7 @@
 	latency, inFlight := max(w.meanLatency(), 1), max(w.meanInFlight(), 1)
 	b.latency += time.Duration(float64(b.latency) * bestLatencyDrift * elapsed.Seconds())
 	if b.latency == 0 || float64(latency) <= latencyTolerance*float64(b.latency) {
-		b.inFlight = max(b.inFlight, float64(w.peakInFlight))
+		b.inFlight = max(b.inFlight, b.concurrency(w))
 	}
 	if b.latency == 0 || latency <= b.latency {
 		b.latency = latency
@@ -34,6 +35,18 @@
 	}
 }
 
+// concurrency returns the concurrency of w at which the latency is about the best one.
+func (b *bestLatency) concurrency(w window) float64 {
+	if !b.byMean {
+		return float64(w.peakInFlight)
+	}
+	stretch := float64(w.meanLatency()) / float64(max(b.latency, 1))
+	if b.latency == 0 {
+		stretch = 1
+	}
+	return w.meanInFlight() / max(1, stretch)
+}
+
 // acceptHigher raises the best latency to that of w after a trial has shown that lower concurrency is not
 // faster.
 func (b *bestLatency) acceptHigher(w window) {
--- a/priority/class.go
+++ b/priority/class.go
@@ -5,18 +5,18 @@
 // flowsBeforePruning is the number of flows from which on idle flows are removed before a new one is added.
 const flowsBeforePruning = 256
 
-// class holds the waiting requests of one priority and dispatches them across workspaces by start-time fair
+// class holds the waiting requests of one order of dispatch and dispatches them across workspaces by start-time fair
 // queueing.
 type class struct {
-	priority    int
+	order       int
 	virtualTime float64
 	flows       map[string]*flow
 	active      []*flow // flows with waiting requests
 	waiting     int
 }
 
-func newClass(priority int) *class {
-	return &class{priority: priority, flows: make(map[string]*flow)}
+func newClass(order int) *class {
+	return &class{order: order, flows: make(map[string]*flow)}
 }
 
 func (c *class) push(w *waiter) {
--- a/priority/fairness.go
+++ b/priority/fairness.go
@@ -6,7 +6,6 @@
 )
 
 const (
-	arrivalsDecay      = 0.97 // weight of the previous counts in each window
 	minArrivals        = 0.05 // count below which a workspace is removed
 	maxLevelWorkspaces = 16   // with their own share in one level
 )
@@ -36,13 +35,14 @@
 }
 
 // level returns a level that admits the share admitted of the demand at priority. The admitted demand is
-// divided among workspaces by weighted max-min fairness.
-func (f *fairness) level(priority int, admitted float64) Level {
+// divided among workspaces by weighted max-min fairness, and one that exceeds its part by the share slack at most keeps
+// all.
+func (f *fairness) level(priority int, admitted, slack float64) Level {
 	workspaces := slices.SortedFunc(maps.Values(f.arrivals[priority]), compareDemand)
 	if len(workspaces) == 0 {
 		return Level{Priority: priority, Share: 1 - admitted}
 	}
-	rate, firstAbove := fairRate(workspaces, admitted)
+	rate, firstAbove := fairRate(workspaces, admitted, slack)
 	shedding := workspaces[firstAbove:]
 	level := Level{Priority: priority}
 	if firstAbove == 0 {
@@ -56,9 +56,9 @@
 }
 
 // fairRate returns the max-min fair demand per unit of workspace share if the share admitted of all demand
-// is admitted, and the index of the first workspace whose demand exceeds it. The workspaces must be sorted
-// by compareDemand.
-func fairRate(workspaces []*workspaceArrivals, admitted float64) (rate float64, firstAbove int) {
+// is admitted, and the index of the first workspace whose demand exceeds it by more than the share slack. The workspaces
+// must be sorted by compareDemand.
+func fairRate(workspaces []*workspaceArrivals, admitted, slack float64) (rate float64, firstAbove int) {
 	remaining, shares := 0.0, 0.0
 	for _, a := range workspaces {
 		remaining += a.count * admitted
@@ -66,7 +66,7 @@
 	}
 	for i, a := range workspaces {
 		rate = remaining / shares
-		if a.count > rate*a.share {
+		if a.count > (1+slack)*rate*a.share {
 			return rate, i
 		}
 		remaining -= a.count
@@ -82,10 +82,10 @@
 }
 
 // decay reduces the counts at the end of a window and removes negligible ones.
-func (f *fairness) decay() {
+func (f *fairness) decay(factor float64) {
 	for p := range f.arrivals {
 		for name, a := range f.arrivals[p] {
-			a.count *= arrivalsDecay
+			a.count *= factor
 			if a.count < minArrivals {
 				delete(f.arrivals[p], name)
 			}
--- a/priority/level.go
+++ b/priority/level.go
@@ -15,6 +15,11 @@
 	ValidUntil time.Time
 }
 
+// AdmitAll returns a level that sheds nothing, without an end of validity.
+func AdmitAll() Level {
+	return Level{Priority: priorityCount}
+}
+
 // Sheds reports whether the level sheds a request with origin at now.
 func (l *Level) Sheds(now time.Time, origin Origin) bool {
 	return origin.ShedBy(l.ShareAt(now, origin))
--- a/priority/limiter.go
+++ b/priority/limiter.go
@@ -33,6 +33,9 @@
 	steadyThroughput float64 // successful runs per second at the limit that is not on trial
 	steadyError      float64 // relative standard error of steadyThroughput
 	trial            trial
+	// cautious limits trials above the announced slots to times at which more runs don't stretch the latency. Where entries
+	// thin out the demand, it varies between windows, and a trial may seem to gain what the demand has gained.
+	cautious bool
 }
 
 func newLimiter(slots int) *limiter {
@@ -60,10 +63,23 @@
 	l.slots = slots
 }
 
+// beCautious sets cautious.
+func (l *limiter) beCautious() {
+	l.cautious, l.best.byMean = true, true
+}
+
 func (l *limiter) current() int {
 	return int(l.limit)
 }
 
+// steady returns the limit that is not on trial.
+func (l *limiter) steady() int {
+	if l.trial.running {
+		return int(l.trial.previousLimit)
+	}
+	return int(l.limit)
+}
+
 // runEnded records a finished run. queued reports whether requests wait for a slot.
 func (l *limiter) runEnded(now time.Time, result Result, inFlight int, queued bool) {
 	if l.window.start.IsZero() {
--- a/priority/origin.go
+++ b/priority/origin.go
@@ -13,6 +13,15 @@
 	return hashFraction(o.RootHash) < share
 }
 
+// Begun returns the origin of a call of a root request that has begun, which no level sheds.
+func (o Origin) Begun() Origin {
+	o.Priority = begunPriority
+	return o
+}
+
+// begunPriority is more important than every rank.
+const begunPriority = -1
+
 // hashFraction maps hash uniformly to [0, 1).
 func hashFraction(hash uint64) float64 {
 	hash ^= hash >> 33
--- a/priority/queue.go
+++ b/priority/queue.go
@@ -7,7 +7,8 @@
 
 // queue holds the waiting requests by priority, the most important first.
 type queue struct {
-	classes       []*class // sorted by priority
+	classes       []*class // sorted by order
+	begunFirst    bool     // nested requests go before others of the same priority
 	byID          map[uint64]*waiter
 	nonEmptySince time.Time // when the queue last became non-empty
 }
@@ -24,21 +25,22 @@
 	if len(q.byID) == 0 {
 		q.nonEmptySince = now
 	}
-	w := &waiter{request: r, queuedAt: now, waitDeadline: waitDeadline}
-	q.classFor(r.Priority).push(w)
+	w := &waiter{request: r, order: q.orderOf(&r), queuedAt: now, waitDeadline: waitDeadline}
+	q.classFor(w.order).push(w)
 	q.byID[r.ID] = w
 }
 
 func (q *queue) remove(w *waiter) {
 	delete(q.byID, w.request.ID)
-	q.classFor(w.request.Priority).remove(w)
+	q.classFor(w.order).remove(w)
 }
 
-// next returns the waiter to dispatch, or nil if the queue is empty.
+// next returns the waiter to dispatch, or nil if the queue is empty. What has begun goes oldest first, if it goes before
+// others: a tree whose first calls have waited must not lose them to the calls of a later one.
 func (q *queue) next(newestFirst bool) *waiter {
 	for _, c := range q.classes {
 		if c.waiting > 0 {
-			return c.next(newestFirst)
+			return c.next(newestFirst && !q.holdsBegun(c))
 		}
 	}
 	return nil
@@ -46,7 +48,7 @@
 
 // dispatch removes the waiter of an admitted request and charges its flow.
 func (q *queue) dispatch(w *waiter) {
-	q.classFor(w.request.Priority).charge(w.flow)
+	q.classFor(w.order).charge(w.flow)
 	q.remove(w)
 }
 
@@ -106,11 +108,25 @@
 	}
 }
 
-// classFor returns the class of priority, and creates it if needed.
-func (q *queue) classFor(priority int) *class {
-	i, found := slices.BinarySearchFunc(q.classes, priority, func(c *class, p int) int { return c.priority - p })
+// orderOf returns the order in which r is dispatched: by priority, then what has begun if it goes first.
+func (q *queue) orderOf(r *Request) int {
+	order := 2 * r.Priority
+	if q.begunFirst && !r.Nested {
+		order++ // as holdsBegun expects
+	}
+	return order
+}
+
+// holdsBegun reports whether the waiting requests of c have begun and go before others of their priority.
+func (q *queue) holdsBegun(c *class) bool {
+	return q.begunFirst && c.order%2 == 0
+}
+
+// classFor returns the class of an order, and creates it if needed.
+func (q *queue) classFor(order int) *class {
+	i, found := slices.BinarySearchFunc(q.classes, order, func(c *class, o int) int { return c.order - o })
 	if !found {
-		q.classes = slices.Insert(q.classes, i, newClass(priority))
+		q.classes = slices.Insert(q.classes, i, newClass(order))
 	}
 	return q.classes[i]
 }
--- a/priority/shedder.go
+++ b/priority/shedder.go
@@ -10,19 +10,35 @@
 	levelPropagationWindows = 16 // windows until all upstream daemons apply a level
 	minAdmittedShare        = 0.05
 	shedShareTolerance      = 0.001
-	wantedQueueDivisor      = 4                      // 1/wantedQueueDivisor of the limit should wait under overload
-	wantedQueueBase         = 2.0                    // waiting requests in addition to those by wantedQueueDivisor
-	queueDrainTime          = 150 * time.Millisecond // target time to drain surplus waiting requests
-	maxDrainShare           = 0.05                   // of the capacity
-	maxFillShare            = 0.25                   // of the capacity, admitted in excess to fill the queue
-	latencyDecay            = 0.8                    // weight of the previous mean in each window
-	recoveryGrowth          = 1.15                   // factor per window
-	recoveryStep            = 0.02                   // added per window
-	demandDecay             = 0.8                    // weight of the previous demand in each window
-	unseenDemandDecay       = 0.99                   // the same for priorities that are shed entirely
+	wantedQueueDivisor      = 4    // 1/wantedQueueDivisor of the limit should wait under overload
+	wantedQueueBase         = 2.0  // waiting requests in addition to those by wantedQueueDivisor
+	maxDrainShare           = 0.05 // of the capacity
+	latencyDecay            = 0.8  // weight of the previous mean in each window
+	unseenDemandDecay       = 0.99 // the same for priorities that are shed entirely
+	slotTimeGain            = 0.05 // weight of one run in the mean slot time of its route
+	minSlotTime             = 0.1  // milliseconds
+	msPerSecond             = 1000.0
 	priorityCount           = levelCount * levelCount
 )
 
+// pacing is how fast the admitted share follows what a window has shown.
+type pacing struct {
+	drainTime      time.Duration // target time to drain surplus waiting requests
+	maxFillShare   float64       // of the capacity, admitted in excess to fill the queue
+	recoveryGrowth float64       // factor per window
+	recoveryStep   float64       // added per window
+	demandDecay    float64       // weight of the previous demand in each window
+	arrivalsDecay  float64       // weight of the previous counts of each workspace in each window
+	fairSlack      float64       // relative excess over the fair demand up to which a workspace keeps all, since counts vary
+}
+
+var (
+	// directPacing suits senders that apply a level within a window.
+	directPacing = pacing{drainTime: 150 * time.Millisecond, maxFillShare: 0.25, recoveryGrowth: 1.15, recoveryStep: 0.02, demandDecay: 0.8, arrivalsDecay: 0.97}
+	// treePacing suits levels that take effect at the entry of a call tree, whose calls arrive up to 16 windows later.
+	treePacing = pacing{drainTime: 300 * time.Millisecond, maxFillShare: 0.05, recoveryGrowth: 1.01, recoveryStep: 0.001, demandDecay: 0.9, arrivalsDecay: 0.99, fairSlack: 0.25}
+)
+
 // noSheddingLevel returns a level that sheds nothing.
 func noSheddingLevel() Level {
 	return Level{Priority: priorityCount}
@@ -45,16 +61,19 @@
 	dropped        int
 	latencySum     time.Duration // of the finished runs
 	meanLatency    float64       // in seconds
+	meanLimit      float64
 	admittedShare  float64
 	recentLevels   [levelPropagationWindows]Level // ring buffer of the levels that upstream daemons may still apply
 	nextRecent     int
 	demand         []float64 // estimated requests per window by priority, of the same length as arrivals
 	fairness       fairness
 	publishedLevel Level
+	pacing         pacing
+	slotTimes      map[string]float64 // mean slot time of each route in milliseconds, nil if demand is counted in requests
 }
 
 func newShedder() *shedder {
-	s := &shedder{admittedShare: 1, publishedLevel: noSheddingLevel()}
+	s := &shedder{admittedShare: 1, pacing: directPacing, publishedLevel: noSheddingLevel()}
 	for i := range s.recentLevels {
 		s.recentLevels[i] = noSheddingLevel()
 	}
@@ -68,7 +87,7 @@
 		s.demand = append(s.demand, 0)
 	}
 	a := s.fairness.arrivalsOf(r)
-	weight := s.representedDemand(p, a.hash, r.Shed)
+	weight := s.representedDemand(p, a.hash, r.Shed) * s.costOf(r.Route)
 	s.arrivals[p] += weight
 	a.count += weight
 }
@@ -99,9 +118,31 @@
 	return shed
 }
 
-func (s *shedder) runCompleted(latency time.Duration) {
+// costOf returns the demand of one request of route: the time that it is expected to hold a slot, in milliseconds, or 1 if
+// requests are counted. A route without a finished run costs as much as the mean run.
+func (s *shedder) costOf(route string) float64 {
+	if s.slotTimes == nil {
+		return 1
+	}
+	if cost := s.slotTimes[route]; cost > 0 {
+		return cost
+	}
+	return max(s.meanLatency*msPerSecond, minSlotTime)
+}
+
+func (s *shedder) runCompleted(route string, latency time.Duration) {
 	s.finished++
 	s.latencySum += latency
+	if s.slotTimes == nil {
+		return
+	}
+	mean, known := s.slotTimes[route]
+	switch {
+	case known:
+		s.slotTimes[route] = mean + slotTimeGain*(latency.Seconds()*msPerSecond-mean)
+	case len(s.slotTimes) < maxRoutes:
+		s.slotTimes[route] = max(latency.Seconds()*msPerSecond, minSlotTime)
+	}
 }
 
 func (s *shedder) requestDropped() {
@@ -141,7 +182,7 @@
 			s.demand[p] = max(s.demand[p]*unseenDemandDecay, arrived)
 			continue
 		}
-		s.demand[p] = demandDecay*s.demand[p] + (1-demandDecay)*arrived
+		s.demand[p] = s.pacing.demandDecay*s.demand[p] + (1-s.pacing.demandDecay)*arrived
 	}
 }
 
@@ -156,15 +197,20 @@
 // least the recovery rate.
 func (s *shedder) updateAdmittedShare(elapsed time.Duration, load load) {
 	s.observeLatency()
+	s.observeLimit(load.limit)
 	admitted := 0.0
 	if load.waiting == 0 && load.hasFreeSlot && s.dropped == 0 {
 		steps := float64(min(elapsed/shedWindow, 8))
-		admitted = s.admittedShare*(1+(recoveryGrowth-1)*steps) + recoveryStep*steps
+		admitted = s.admittedShare*(1+(s.pacing.recoveryGrowth-1)*steps) + s.pacing.recoveryStep*steps
 	}
 	demand := s.totalDemand() / shedWindow.Seconds()
 	if demand > 0 && s.meanLatency > 0 {
-		capacity := float64(load.limit) / s.meanLatency
-		admitted = max(admitted, capacity*(1-s.drainShare(load, capacity))/demand)
+		requests := float64(load.limit) / s.meanLatency // a second
+		capacity := requests
+		if s.slotTimes != nil {
+			capacity = s.meanLimit * msPerSecond
+		}
+		admitted = max(admitted, capacity*(1-s.drainShare(load, requests))/demand)
 	}
 	s.admittedShare = min(1, max(minAdmittedShare, admitted))
 }
@@ -173,8 +219,8 @@
 // negative if too few requests wait.
 func (s *shedder) drainShare(load load, capacity float64) float64 {
 	wanted := float64(load.limit)/wantedQueueDivisor + wantedQueueBase
-	drain := (float64(load.waiting) - wanted) / (capacity * queueDrainTime.Seconds())
-	return min(max(drain, -maxFillShare), maxDrainShare)
+	drain := (float64(load.waiting) - wanted) / (capacity * s.pacing.drainTime.Seconds())
+	return min(max(drain, -s.pacing.maxFillShare), maxDrainShare)
 }
 
 func (s *shedder) observeLatency() {
@@ -188,6 +234,14 @@
 	s.meanLatency = latencyDecay*s.meanLatency + (1-latencyDecay)*latency
 }
 
+// observeLimit smooths the limit like the demand, whose slot times follow the limit.
+func (s *shedder) observeLimit(limit int) {
+	if s.meanLimit == 0 {
+		s.meanLimit = float64(limit)
+	}
+	s.meanLimit = s.pacing.demandDecay*s.meanLimit + (1-s.pacing.demandDecay)*float64(limit)
+}
+
 func (s *shedder) totalDemand() float64 {
 	total := 0.0
 	for _, d := range s.demand {
@@ -201,7 +255,7 @@
 	s.publishedLevel = s.levelFor(s.admittedShare * s.totalDemand())
 	s.recentLevels[s.nextRecent%levelPropagationWindows] = s.publishedLevel
 	s.nextRecent++
-	s.fairness.decay()
+	s.fairness.decay(s.pacing.arrivalsDecay)
 }
 
 // levelFor returns a level that admits the given number of requests per window.
@@ -211,7 +265,7 @@
 	}
 	for p, d := range s.demand {
 		if d > admitted {
-			return s.fairness.level(p, admitted/d)
+			return s.fairness.level(p, admitted/d, s.pacing.fairSlack)
 		}
 		admitted -= d
 	}
--- a/priority/trial.go
+++ b/priority/trial.go
@@ -42,13 +42,18 @@
 	switch {
 	case overloaded && downDue:
 		l.applyTrial(stepDownOverloaded, true)
-	case !now.Before(l.trial.nextUp):
+	case !now.Before(l.trial.nextUp) && l.mayTryUp(latencyRatio):
 		l.applyTrial(l.trial.upFactor(), false)
 	case downDue:
 		l.applyTrial(stepDown, false)
 	}
 }
 
+// mayTryUp reports whether an upward trial makes sense at the given ratio of the latency to the best recent one.
+func (l *limiter) mayTryUp(latencyRatio float64) bool {
+	return !l.cautious || l.limit < float64(l.slots) || latencyRatio <= baselineLatencyRatio
+}
+
 // upFactor returns the factor of an upward trial, which is larger after a successful one.
 func (t *trial) upFactor() float64 {
 	if t.climbing {
--- a/priority/waiter.go
+++ b/priority/waiter.go
@@ -5,6 +5,7 @@
 // waiter is a waiting request, linked into its flow from oldest to newest.
 type waiter struct {
 	request      Request
+	order        int // of its class
 	queuedAt     time.Time
 	waitDeadline time.Time // refused after this time, unless zero
 	flow         *flow
