--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -38,6 +38,7 @@
 	logs     *lockedBuffer
 	served   *daemon.Daemon // daemon of the backend server that was started last
 	domain   string         // failure domain of new daemons
+	scarce   bool           // whether new daemons hold back requests for services below that are short of room
 	relayed  bool           // whether new daemons advertise the address of a relay
 	relay    *relay         // relay of the daemon that was started last
 
@@ -155,6 +156,8 @@
 		FailureDomain: f.domain,
 		Control:       []netip.AddrPort{f.peer},
 		Freshness:     testFreshness,
+
+		ScarceServices: f.scarce,
 		Timeouts: settings.Timeouts{
 			ReadHeader: time.Second, Idle: time.Minute, BodyStall: time.Second, Dial: time.Second, Drain: 10 * time.Second,
 		},
