--- a/priority/admission.go
+++ b/priority/admission.go
@@ -84,7 +84,7 @@
 	}
 	a.limiter.runEnded(now, result, len(a.running), a.queue.len() > 0)
 	delete(a.running, id)
-	a.shedder.runCompleted(route, result.Latency)
+	a.shedder.runCompleted(route, result)
 	if !result.Failed {
 		a.serviceTimes.observe(now, route, result.Latency)
 	}
--- a/priority/shedder.go
+++ b/priority/shedder.go
@@ -130,7 +130,12 @@
 	return max(s.meanLatency*msPerSecond, minSlotTime)
 }
 
-func (s *shedder) runCompleted(route string, latency time.Duration) {
+// runCompleted records a run. Where slot times are measured, a failed one counts for nothing: it may have ended early.
+func (s *shedder) runCompleted(route string, result Result) {
+	if s.slotTimes != nil && result.Failed {
+		return
+	}
+	latency := result.Latency
 	s.finished++
 	s.latencySum += latency
 	if s.slotTimes == nil {
