--- a/internal/daemon/decisions.go
+++ b/internal/daemon/decisions.go
@@ -88,7 +88,7 @@
 	targets := target.NewTable(target.WithTableEvents(d.logTargetChange))
 	selector := target.NewChooser(targets, target.WithFailureDomain(d.settings.FailureDomain), target.WithDaemon(d.settings.Name), target.WithCrossDomainCost(d.settings.FarCost), target.WithSpillEvents(d.logSpill))
 	d.pace = newPaceGate(d)
-	admissionControl := priority.NewAdmission(priority.WithGate(d.pace.pacer))
+	admissionControl := priority.NewAdmission(append(d.scarce.admissionOptions(), priority.WithGate(d.pace.pacer))...)
 	tokens := limit.NewHolder(limit.WithFallbackSpending(d.settings.Coasting), limit.WithFallbackEvents(d.logFallback))
 	list, inFlight := quarantine.NewList(), quarantine.NewInFlight()
 	if d.recorder == nil {
--- a/internal/daemon/local.go
+++ b/internal/daemon/local.go
@@ -336,7 +336,11 @@
 		Failed:  inconclusive || r.serverError || crashedTarget != "",
 		Cause:   r.cause(inconclusive),
 	})
-	r.done(r.daemon.reportOf(r.call, crashedTarget))
+	report := r.daemon.reportOf(r.call, crashedTarget)
+	if !inconclusive && !r.serverError && crashedTarget == "" {
+		report.costs = r.daemon.scarce.recordRun(r.call, serviceTime)
+	}
+	r.done(report)
 }
 
 // cause returns why the run failed, for the pace of the backend server.
@@ -366,5 +370,6 @@
 		pace:            d.pace.share(),
 		crashedTarget:   crashedTarget,
 		load:            d.serverLoad(now),
+		rooms:           d.scarce.rooms(now, c.callee()),
 	}
 }
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -76,6 +76,7 @@
 func (d *Daemon) publishGauges() {
 	d.counters.vars.Set("admission", expvar.Func(func() any { return d.admitter.stats(time.Now()) }))
 	d.counters.vars.Set("pace", expvar.Func(func() any { return d.pace.stats() }))
+	d.counters.vars.Set("scarce-services", expvar.Func(func() any { return d.scarce.held() }))
 	d.latencies.publish(d.counters.vars)
 	d.publishRouting()
 	d.counters.vars.Set("readiness", expvar.Func(func() any { return d.readiness(boottime.Now()) }))
--- a/internal/settings/daemon.go
+++ b/internal/settings/daemon.go
@@ -35,10 +35,13 @@
 	Coasting time.Duration `toml:"coasting"`
 	// LearnPace paces a backend server that starts, turns cold or fails by its answers, in place of the slow start of a fixed
 	// time. A server whose service has a cold rate is paced in any case.
-	LearnPace bool     `toml:"learn-pace"`
-	Timeouts  Timeouts `toml:"timeouts"`
-	Log       Log      `toml:"log"`
-	TLS       TLS      `toml:"tls"`
+	LearnPace bool `toml:"learn-pace"`
+	// ScarceServices makes the daemon refuse requests of callers before their first call if a service that they need
+	// further down has no room for them.
+	ScarceServices bool     `toml:"scarce-services"`
+	Timeouts       Timeouts `toml:"timeouts"`
+	Log            Log      `toml:"log"`
+	TLS            TLS      `toml:"tls"`
 }
 
 // LoadDaemon loads and checks the settings file of a daemon and returns all problems as configuration.Problems.
