--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -228,7 +228,7 @@
 }
 
 // syncLeadership starts or ends the leadership to match the leader lease. It applies a new configuration to the token
-// buckets and wakes the sessions when the configuration or the quarantine changed.
+// buckets and wakes the sessions when the configuration, the quarantine or the failure domains in use changed.
 func (c *Control) syncLeadership(now time.Time) {
 	l := c.leadership.Load()
 	if !c.store.HoldsLease(now) {
@@ -245,7 +245,11 @@
 	var changed bool
 	c.store.Read(func() {
 		l.setBuckets(now, c.state.configuration.Revision(), c.state.configuration.Current())
-		changed = l.recordNotified(c.state.configuration.Revision(), c.state.quarantine.Version())
+		changed = l.recordNotified(notifiedVersions{
+			revision:   c.state.configuration.Revision(),
+			quarantine: c.state.quarantine.Version(),
+			outOfUse:   c.state.evacuations.Version(),
+		})
 	})
 	if started {
 		c.setLeadership(l)
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -115,13 +115,13 @@
 type notifiedVersions struct {
 	revision   uint64
 	quarantine uint64
+	outOfUse   uint64
 }
 
 // recordNotified records the current versions and reports whether they changed since sessions were last woken.
-func (l *leadership) recordNotified(revision, quarantined uint64) bool {
+func (l *leadership) recordNotified(current notifiedVersions) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	current := notifiedVersions{revision: revision, quarantine: quarantined}
 	if l.notified == current {
 		return false
 	}
--- a/internal/control/operators.go
+++ b/internal/control/operators.go
@@ -82,12 +82,14 @@
 	Readiness readiness `json:"readiness"`
 	Sessions  int       `json:"sessions"`
 	Targets   int       `json:"targets"`
+	// FailureDomains holds the failure domains out of use.
+	FailureDomains domainsReport `json:"failure-domains"`
 	// Limits holds the token bucket of each workspace.
 	Limits []limit.BucketStats `json:"limits,omitempty"`
 }
 
 func (c *Control) metrics() metricsReport {
-	report := metricsReport{Readiness: c.readiness()}
+	report := metricsReport{Readiness: c.readiness(), FailureDomains: newDomainsReport(c.evacuations(0))}
 	if l := c.leadership.Load(); l != nil {
 		report.Sessions = len(l.allSessions())
 		l.targetMu.Lock()
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -52,6 +52,8 @@
 	membership       uint64
 	quarantine       uint64
 	hasTargets       bool
+	outOfUse         uint64
+	hasOutOfUse      bool
 	controlAddresses []string
 }
 
--- a/internal/control/sessionwrite.go
+++ b/internal/control/sessionwrite.go
@@ -43,10 +43,13 @@
 	return s.stream.Send(message)
 }
 
-// sendUpdates sends changes of the configuration, the targets and the quarantine, and then confirms the latest
-// heartbeat. The heartbeat is taken before the changes are read, so that its confirmation covers all of them.
+// sendUpdates sends changes of the failure domains in use, the configuration, the targets and the quarantine, and then
+// confirms the latest heartbeat. The heartbeat is taken before the changes are read, so that its confirmation covers all of them.
 func (s *session) sendUpdates(now time.Time) error {
 	heartbeat := s.takeHeartbeat()
+	if err := s.sendOutOfUse(now); err != nil {
+		return err
+	}
 	revision, err := s.sendConfiguration()
 	if err != nil {
 		return err
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -11,18 +11,20 @@
 	"sapphirespread.example/configuration"
 	"sapphirespread.example/internal/control/controlpb"
 	"sapphirespread.example/internal/membership/departure"
+	"sapphirespread.example/internal/membership/evacuation"
 	"sapphirespread.example/internal/message"
 	"sapphirespread.example/internal/peer/peerpb"
 	"sapphirespread.example/quarantine"
 )
 
-// A state is the state machine of the replicated log: the published configuration, the claims, the quarantine and the
-// backend servers that have left.
+// A state is the state machine of the replicated log: the published configuration, the claims, the quarantine, the
+// backend servers that have left and the failure domains out of use.
 type state struct {
 	configuration *configuration.Registry
 	claims        *claim.Registry
 	quarantine    *quarantine.Register
 	departures    *departure.Register
+	evacuations   *evacuation.Register
 }
 
 func newState() *state {
@@ -31,6 +33,7 @@
 		claims:        claim.NewRegistry(),
 		quarantine:    quarantine.NewRegister(),
 		departures:    departure.NewRegister(),
+		evacuations:   evacuation.NewRegister(),
 	}
 }
 
@@ -51,6 +54,9 @@
 		result.Body = &controlpb.Result_Done{Done: true}
 	case *controlpb.Command_Departure:
 		result.Body = &controlpb.Result_Done{Done: s.departures.Record(at, message.DecodeDeparture(body.Departure))}
+	case *controlpb.Command_Evacuation:
+		order := evacuation.Order{Domain: body.Evacuation.GetFailureDomain(), Out: body.Evacuation.GetOut()}
+		result.Body = &controlpb.Result_Done{Done: s.evacuations.Apply(at, order)}
 	default:
 		done := s.applyQuarantine(at, &decoded)
 		result.Body = &controlpb.Result_Done{Done: done}
@@ -154,7 +160,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("encoding the departures: %w", err)
 	}
-	return proto.Marshal(&controlpb.Snapshot{Configuration: configured, Claims: claims, Quarantine: quarantined, Departures: departures})
+	evacuations, err := s.evacuations.MarshalBinary()
+	if err != nil {
+		return nil, fmt.Errorf("encoding the failure domains out of use: %w", err)
+	}
+	return proto.Marshal(&controlpb.Snapshot{
+		Configuration: configured, Claims: claims, Quarantine: quarantined, Departures: departures, Evacuations: evacuations,
+	})
 }
 
 // Restore replaces the state with the one in a snapshot. On error the state is unchanged.
@@ -176,6 +188,9 @@
 	if err := restored.departures.UnmarshalBinary(snapshot.GetDepartures()); err != nil {
 		return fmt.Errorf("restoring the departures: %w", err)
 	}
+	if err := restored.evacuations.UnmarshalBinary(snapshot.GetEvacuations()); err != nil {
+		return fmt.Errorf("restoring the failure domains out of use: %w", err)
+	}
 	*s = *restored
 	return nil
 }
--- a/internal/daemon/counters.go
+++ b/internal/daemon/counters.go
@@ -15,6 +15,7 @@
 	retries        *expvar.Int
 	crashes        *expvar.Int
 	droppedReports *expvar.Int
+	outOfUse       *expvar.Int
 	refused        *expvar.Map
 }
 
@@ -27,6 +28,7 @@
 		retries:        new(expvar.Int),
 		crashes:        new(expvar.Int),
 		droppedReports: new(expvar.Int),
+		outOfUse:       new(expvar.Int),
 		refused:        new(expvar.Map).Init(),
 	}
 	c.vars.Set("requests", c.requests)
@@ -35,6 +37,7 @@
 	c.vars.Set("retries", c.retries)
 	c.vars.Set("backend-server-crashes", c.crashes)
 	c.vars.Set("reports-dropped", c.droppedReports)
+	c.vars.Set("out-of-use-refused", c.outOfUse)
 	c.vars.Set("refused", c.refused)
 	return c
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"sapphirespread.example/configuration"
 	"sapphirespread.example/internal/daemon/dialect"
 	"sapphirespread.example/internal/host/boottime"
+	"sapphirespread.example/internal/membership/evacuation"
 	"sapphirespread.example/internal/membership/target"
 	"sapphirespread.example/internal/peer"
 	"sapphirespread.example/internal/settings"
@@ -53,6 +54,7 @@
 	recorder         *trace.Recorder
 	table            table
 	chooser          chooser
+	domains          *evacuation.View
 	holder           holder
 	rateLimiter      *rateLimiter
 	admitter         *admitter
@@ -110,6 +112,7 @@
 	d.backend = newBackend(d.incarnation, s.Timeouts.Announcement)
 	d.budgets = newBudgets(d.recorder)
 	d.initDecisions()
+	d.domains = evacuation.NewView(func(s evacuation.State) { d.chooser.SetOutOfUse(s.Domains) })
 	d.downstream = newDownstreamLevels(d.chooser)
 	d.throttle = newEntryThrottle(d.logger)
 	d.link = newLink(d)
--- a/internal/daemon/decisions.go
+++ b/internal/daemon/decisions.go
@@ -34,6 +34,7 @@
 	Sent(now time.Time, name string)
 	Answered(now time.Time, name string, o target.Observation)
 	RecordHeartbeat(now time.Time, name string)
+	SetOutOfUse(domains []string)
 	Level(now time.Time, service string) priority.Level
 }
 
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -197,6 +197,7 @@
 // handleReport records the target's report at the end of the call and returns the unused allowance.
 func (a *attempt) handleReport(report callReport) {
 	a.reservation.Release(report.unusedAllowance)
+	a.daemon.applyPeerDomains(report.outOfUse, a.target.Daemon)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.report = report
--- a/internal/daemon/linkreceive.go
+++ b/internal/daemon/linkreceive.go
@@ -46,6 +46,8 @@
 		s.link.pending.deliver(body.DepartureRecorded.GetId(), message)
 	case *peerpb.ControlMessage_Quarantine:
 		s.applyQuarantine(body.Quarantine)
+	case *peerpb.ControlMessage_OutOfUse:
+		s.link.daemon.applyLeaderDomains(body.OutOfUse)
 	case *peerpb.ControlMessage_Redirect:
 		return fmt.Errorf("%w: %s", errRedirected, body.Redirect.GetReason())
 	}
--- a/internal/daemon/linksession.go
+++ b/internal/daemon/linksession.go
@@ -175,6 +175,7 @@
 		MembershipVersion: version,
 		CalledServices:    services,
 		QuarantineVersion: d.quarantine.Version(),
+		OutOfUseVersion:   d.domains.Version(),
 		Stamp:             message.EncodeStamp(d.clock.Now(time.Now())),
 	}
 	return s.stream.Send(&peerpb.DaemonMessage{Body: &peerpb.DaemonMessage_Heartbeat{Heartbeat: heartbeat}})
--- a/internal/daemon/local.go
+++ b/internal/daemon/local.go
@@ -38,7 +38,8 @@
 	return run.start(ctx)
 }
 
-// checkBeforeRun refuses the call if the instance or the backend server is stopping or the request is quarantined.
+// checkBeforeRun refuses the call if the instance or the backend server is stopping, the failure domain is out of use or
+// the request is quarantined.
 func (d *Daemon) checkBeforeRun(c *call) *attemptError {
 	if d.refusingPeers.Load() {
 		return refuse(refusal.Draining, "the instance is stopping")
@@ -46,6 +47,9 @@
 	if d.backend.refusesCalls(time.Now()) {
 		return refuse(refusal.Draining, "the backend server is leaving")
 	}
+	if refused := d.checkDomain(); refused != nil {
+		return refused
+	}
 	if d.isQuarantined(c) {
 		return refuse(refusal.Quarantined, "")
 	}
@@ -119,6 +123,10 @@
 		return nil, r.giveUp(refused)
 	}
 	r.tracked = tracked
+	// An order may have come while the call waited.
+	if refused := r.daemon.checkDomain(); refused != nil {
+		return nil, r.giveUp(refused)
+	}
 	startsAt := time.Now()
 	if r.claim != nil && !r.claim.mayRun(startsAt) {
 		return nil, r.giveUp(refuse(refusal.ClaimUnavailable, "the claim was granted too late"))
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -78,5 +78,6 @@
 	d.latencies.publish(d.counters.vars)
 	d.counters.vars.Set("readiness", expvar.Func(func() any { return d.readiness(boottime.Now()) }))
 	d.counters.vars.Set("fallback-tokens", expvar.Func(func() any { return d.holder.FallbackTokens() }))
+	d.counters.vars.Set("failure-domains", expvar.Func(func() any { return d.domainsReport() }))
 	d.counters.vars.Set("in-flight", expvar.Func(func() any { return d.inFlight.current() }))
 }
--- /dev/null
+++ b/internal/daemon/outofuse.go
@@ -0,0 +1,68 @@
+package daemon
+
+import (
+	"fmt"
+	"time"
+
+	"sapphirespread.example/internal/membership/evacuation"
+	"sapphirespread.example/internal/message"
+	"sapphirespread.example/internal/peer/peerpb"
+	"sapphirespread.example/refusal"
+)
+
+const sourceLeader = "leader"
+
+// domainsReport is the state of the failure domains in the metrics.
+type domainsReport struct {
+	Version  uint64   `json:"version"`
+	OutOfUse []string `json:"out-of-use"`
+}
+
+func (d *Daemon) domainsReport() domainsReport {
+	state := d.domains.State()
+	return domainsReport{Version: state.Version, OutOfUse: append([]string{}, state.Domains...)}
+}
+
+// applyLeaderDomains takes the failure domains out of use that the leader sent.
+func (d *Daemon) applyLeaderDomains(encoded *peerpb.OutOfUse) {
+	if state := message.DecodeOutOfUse(encoded); d.domains.ApplyLeader(state) {
+		d.logDomains(state, sourceLeader, time.Duration(encoded.GetAgeUs())*time.Microsecond)
+	}
+}
+
+// applyPeerDomains takes the failure domains out of use that another daemon reported with an answer. They reach a daemon
+// so that has lost control.
+func (d *Daemon) applyPeerDomains(encoded *peerpb.OutOfUse, source string) {
+	if encoded == nil {
+		return
+	}
+	if state := message.DecodeOutOfUse(encoded); d.domains.ApplyPeer(state) {
+		d.logDomains(state, source, 0)
+	}
+}
+
+func (d *Daemon) logDomains(state evacuation.State, source string, age time.Duration) {
+	if state.Version == 0 {
+		return // no order was ever given
+	}
+	d.record("membership", fmt.Sprintf("failure domains out of use: %v", state.Domains))
+	d.logger.Info().Strs("out-of-use", state.Domains).Uint64("version", state.Version).Str("source", source).
+		Int64("age-ms", age.Milliseconds()).Msg("daemon: failure domains in force")
+}
+
+// newerDomains returns the failure domains out of use if their version is above known, and nil otherwise.
+func (d *Daemon) newerDomains(known uint64) *peerpb.OutOfUse {
+	if d.domains.Version() <= known {
+		return nil
+	}
+	return message.EncodeOutOfUse(d.domains.State(), 0)
+}
+
+// checkDomain refuses a call to the backend server of this daemon while its own failure domain is out of use.
+func (d *Daemon) checkDomain() *attemptError {
+	if !d.domains.Out(d.settings.FailureDomain) {
+		return nil
+	}
+	d.counters.outOfUse.Add(1)
+	return refuse(refusal.Draining, "the failure domain is out of use")
+}
--- a/internal/daemon/remote.go
+++ b/internal/daemon/remote.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"sapphirespread.example/internal/membership/evacuation"
 	"sapphirespread.example/internal/membership/target"
 	"sapphirespread.example/internal/message"
 	"sapphirespread.example/internal/peer"
@@ -28,7 +29,7 @@
 		}
 		return nil, refuse(refusal.TargetUnreachable, err.Error())
 	}
-	remote := &remoteCall{streams: d.streams, returnTimes: d.returnTimes, address: to.Peer, stream: stream, call: c, done: done}
+	remote := &remoteCall{streams: d.streams, returnTimes: d.returnTimes, domains: d.domains, address: to.Peer, stream: stream, call: c, done: done}
 	remote.stop = context.AfterFunc(ctx, stream.Abort)
 	return remote.start(ctx, to)
 }
@@ -37,6 +38,7 @@
 type remoteCall struct {
 	streams     *streamPool
 	returnTimes *returnTimes
+	domains     *evacuation.View
 	address     netip.AddrPort
 	stream      *peer.Stream
 	call        *call
@@ -107,6 +109,7 @@
 		ObjectiveUs:       c.objective.Microseconds(),
 		CallerService:     c.callerService,
 		TrailerNames:      c.head.trailerNames,
+		OutOfUseVersion:   r.domains.Version(),
 	}
 }
 
--- a/internal/daemon/report.go
+++ b/internal/daemon/report.go
@@ -14,7 +14,8 @@
 	downstream      priority.Level // of the services that a run of the call's route calls
 	draining        bool
 	crashedTarget   string
-	handlingTime    time.Duration // from the receipt of the call until the report, zero if unknown
+	handlingTime    time.Duration    // from the receipt of the call until the report, zero if unknown
+	outOfUse        *peerpb.OutOfUse // failure domains, nil if the sender of the call knows them
 }
 
 func encodeReport(report callReport, now time.Time) *peerpb.CallReport {
@@ -25,6 +26,7 @@
 		Level:           encodeLevel(report.level, now),
 		Deeper:          encodeLevel(report.downstream, now),
 		HandlingUs:      report.handlingTime.Microseconds(),
+		OutOfUse:        report.outOfUse,
 	}
 }
 
@@ -35,6 +37,7 @@
 		crashedTarget:   encoded.GetCrashedTarget(),
 		level:           decodeLevel(encoded.GetLevel(), now),
 		downstream:      decodeLevel(encoded.GetDeeper(), now),
+		outOfUse:        encoded.GetOutOfUse(),
 		handlingTime:    time.Duration(encoded.GetHandlingUs()) * time.Microsecond,
 	}
 }
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -68,6 +68,7 @@
 	report            callReport
 	target            string
 	targetIncarnation uint64
+	knownDomains      uint64 // the sender's version of the failure domains out of use
 	body              *bodyQueue
 	trailer           atomic.Pointer[http.Header]
 	received          uint64
@@ -85,6 +86,7 @@
 		receivedAt:        now,
 		target:            header.GetTarget(),
 		targetIncarnation: header.GetTargetIncarnation(),
+		knownDomains:      header.GetOutOfUseVersion(),
 		done:              make(chan struct{}),
 	}
 	if s.call.bodyless() {
@@ -148,6 +150,7 @@
 func (s *servedCall) encodeReport() *peerpb.CallReport {
 	now := time.Now()
 	s.report.handlingTime = now.Sub(s.receivedAt)
+	s.report.outOfUse = s.daemon.newerDomains(s.knownDomains)
 	return encodeReport(s.report, now)
 }
 
--- a/internal/membership/target/chooser.go
+++ b/internal/membership/target/chooser.go
@@ -17,6 +17,7 @@
 	slowStart       time.Duration
 	crossDomainCost float64
 	firstTime       atomic.Pointer[time.Time]
+	outOfUse        atomic.Pointer[[]string] // failure domains, nil while all are in use
 }
 
 // NewChooser returns a Chooser over the targets of table.
@@ -77,6 +78,21 @@
 	}
 }
 
+// SetOutOfUse sets the failure domains whose targets are not chosen, even if a service has no others.
+func (c *Chooser) SetOutOfUse(domains []string) {
+	if len(domains) == 0 {
+		c.outOfUse.Store(nil)
+		return
+	}
+	domains = slices.Clone(domains)
+	c.outOfUse.Store(&domains)
+}
+
+func (c *Chooser) isOutOfUse(t *Target) bool {
+	domains := c.outOfUse.Load()
+	return domains != nil && slices.Contains(*domains, t.FailureDomain)
+}
+
 func (c *Chooser) isLocal(t *Target) bool {
 	return c.daemon != "" && t.Daemon == c.daemon
 }
@@ -104,16 +120,20 @@
 }
 
 // ejectionsLeft returns how many more targets of m's service may be ejected for failures: at most half of the
-// service's targets are ejected at once.
+// service's targets in use are ejected at once.
 func (c *Chooser) ejectionsLeft(m *member, at int64) int {
 	members, _ := c.table.services.get(m.target().Service)
-	remaining := len(members) / 2
+	inUse, ejected := 0, 0
 	for _, other := range members {
+		if c.isOutOfUse(other.target()) {
+			continue
+		}
+		inUse++
 		if other != m && at < other.ejectedUntil.Load() {
-			remaining--
+			ejected++
 		}
 	}
-	return remaining
+	return inUse/2 - ejected
 }
 
 // weight returns the load that m takes during its slow start relative to full load, from slowStartFloor to 1.
--- a/internal/membership/target/selection.go
+++ b/internal/membership/target/selection.go
@@ -16,7 +16,7 @@
 	tierServing                      // any failure domain, able to serve
 	tierWarming                      // still warming
 	tierEjected                      // ejected for failures, last resort
-	tierExcluded                     // excluded, draining, silent, or sheds the request
+	tierExcluded                     // excluded, draining, silent, out of use, or sheds the request
 	tierCount
 )
 
@@ -59,7 +59,7 @@
 
 func (s *selection) tierOf(m *member, exclude []string) tier {
 	target := m.target()
-	if m.drained.Load() || excluded(target.Name, exclude) || s.chooser.isSilent(m, s.at) {
+	if m.drained.Load() || excluded(target.Name, exclude) || s.chooser.isOutOfUse(target) || s.chooser.isSilent(m, s.at) {
 		return tierExcluded
 	}
 	share := m.shedShare(s.now, s.origin)
--- a/internal/membership/target/servicelevel.go
+++ b/internal/membership/target/servicelevel.go
@@ -8,13 +8,13 @@
 )
 
 // Level returns the median level of service's targets by strictness, so that at least half of them shed what it sheds.
-// Targets that are draining, ejected or silent, or whose last level has expired, don't count.
+// Targets that are draining, ejected, silent or out of use, or whose last level has expired, don't count.
 func (c *Chooser) Level(now time.Time, service string) priority.Level {
 	members, _ := c.table.services.get(service)
 	at := c.offset(now)
 	var levels []priority.Level
 	for _, m := range members {
-		if m.drained.Load() || at < m.ejectedUntil.Load() || c.isSilent(m, at) {
+		if m.drained.Load() || at < m.ejectedUntil.Load() || c.isOutOfUse(m.target()) || c.isSilent(m, at) {
 			continue
 		}
 		if level, known := m.currentLevel(now); known {
--- a/internal/trace/targets.go
+++ b/internal/trace/targets.go
@@ -81,6 +81,16 @@
 	t.stream.add(TargetStep{At: now.Sub(t.start), Call: RecordHeartbeat, Name: name})
 }
 
+// SetOutOfUse sets the failure domains that are out of use and records the call.
+func (t *Targets) SetOutOfUse(domains []string) { t.setOutOfUseAt(time.Now(), domains) }
+
+func (t *Targets) setOutOfUseAt(now time.Time, domains []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.chooser.SetOutOfUse(domains)
+	t.stream.add(TargetStep{At: now.Sub(t.start), Call: SetOutOfUse, Domains: slices.Clone(domains)})
+}
+
 // Level returns the median shed level of the targets of the service. The call is not recorded.
 func (t *Targets) Level(now time.Time, service string) priority.Level {
 	return t.chooser.Level(now, service)
--- a/internal/trace/targetstep.go
+++ b/internal/trace/targetstep.go
@@ -18,6 +18,7 @@
 	Sent            TargetCall = "sent"
 	Answered        TargetCall = "answered"
 	RecordHeartbeat TargetCall = "heard"
+	SetOutOfUse     TargetCall = "out-of-use"
 )
 
 // A TargetStep is one recorded call to a target.Table or a target.Chooser: its arguments and its choice or error.
@@ -36,6 +37,7 @@
 	Workspace   string             `json:"workspace,omitempty"`
 	Exclude     []string           `json:"exclude,omitempty"`
 	Name        string             `json:"name,omitempty"`
+	Domains     []string           `json:"domains,omitempty"`
 	Observation *TargetObservation `json:"observation,omitempty"`
 	Choice      target.Choice      `json:"-"`
 	Found, Shed bool               `json:"-"`
@@ -83,6 +85,8 @@
 		t.Answered(now, s.Name, s.Observation.observation(t.start))
 	case RecordHeartbeat:
 		t.RecordHeartbeat(now, s.Name)
+	case SetOutOfUse:
+		t.setOutOfUseAt(now, s.Domains)
 	}
 }
 
