--- a/internal/api/oas/oas_client_gen.go
+++ b/internal/api/oas/oas_client_gen.go
@@ -39,6 +39,12 @@
 	//
 	// GET /operator/v1/diff
 	Diff(ctx context.Context, params DiffParams) (*Diff, error)
+	// FailureDomains invokes failureDomains operation.
+	//
+	// Returns the failure domains that are out of use, or that instances are in.
+	//
+	// GET /operator/v1/failure-domains
+	FailureDomains(ctx context.Context) (*FailureDomains, error)
 	// History invokes history operation.
 	//
 	// Returns who published each kept revision, the oldest first.
@@ -111,6 +117,19 @@
 	//
 	// GET /operator/v1/status
 	Status(ctx context.Context) (*Status, error)
+	// TakeFailureDomainBack invokes takeFailureDomainBack operation.
+	//
+	// Takes a failure domain back into use. Taking it back again changes nothing.
+	//
+	// POST /operator/v1/failure-domains/{name}/back
+	TakeFailureDomainBack(ctx context.Context, params TakeFailureDomainBackParams) error
+	// TakeFailureDomainOut invokes takeFailureDomainOut operation.
+	//
+	// Takes a failure domain out of use, so that its targets get no calls. Taking it out again changes
+	// nothing.
+	//
+	// POST /operator/v1/failure-domains/{name}/out
+	TakeFailureDomainOut(ctx context.Context, params TakeFailureDomainOutParams) error
 	// Targets invokes targets operation.
 	//
 	// Returns the announced targets.
@@ -327,6 +346,49 @@
 	return result, nil
 }
 
+// FailureDomains invokes failureDomains operation.
+//
+// Returns the failure domains that are out of use, or that instances are in.
+//
+// GET /operator/v1/failure-domains
+func (c *Client) FailureDomains(ctx context.Context) (*FailureDomains, error) {
+	res, err := c.sendFailureDomains(ctx)
+	return res, err
+}
+
+func (c *Client) sendFailureDomains(ctx context.Context) (res *FailureDomains, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/operator/v1/failure-domains"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeFailureDomainsResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // History invokes history operation.
 //
 // Returns who published each kept revision, the oldest first.
@@ -923,6 +985,131 @@
 	return result, nil
 }
 
+// TakeFailureDomainBack invokes takeFailureDomainBack operation.
+//
+// Takes a failure domain back into use. Taking it back again changes nothing.
+//
+// POST /operator/v1/failure-domains/{name}/back
+func (c *Client) TakeFailureDomainBack(ctx context.Context, params TakeFailureDomainBackParams) error {
+	_, err := c.sendTakeFailureDomainBack(ctx, params)
+	return err
+}
+
+func (c *Client) sendTakeFailureDomainBack(ctx context.Context, params TakeFailureDomainBackParams) (res *TakeFailureDomainBackNoContent, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [3]string
+	pathParts[0] = "/operator/v1/failure-domains/"
+	{
+		// Encode "name" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "name",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			return e.EncodeValue(conv.StringToString(params.Name))
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[1] = encoded
+	}
+	pathParts[2] = "/back"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "POST", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeTakeFailureDomainBackResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
+// TakeFailureDomainOut invokes takeFailureDomainOut operation.
+//
+// Takes a failure domain out of use, so that its targets get no calls. Taking it out again changes
+// nothing.
+//
+// POST /operator/v1/failure-domains/{name}/out
+func (c *Client) TakeFailureDomainOut(ctx context.Context, params TakeFailureDomainOutParams) error {
+	_, err := c.sendTakeFailureDomainOut(ctx, params)
+	return err
+}
+
+func (c *Client) sendTakeFailureDomainOut(ctx context.Context, params TakeFailureDomainOutParams) (res *TakeFailureDomainOutNoContent, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [3]string
+	pathParts[0] = "/operator/v1/failure-domains/"
+	{
+		// Encode "name" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "name",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			return e.EncodeValue(conv.StringToString(params.Name))
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[1] = encoded
+	}
+	pathParts[2] = "/out"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "POST", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeTakeFailureDomainOutResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // Targets invokes targets operation.
 //
 // Returns the announced targets.
--- a/internal/api/oas/oas_handlers_gen.go
+++ b/internal/api/oas/oas_handlers_gen.go
@@ -298,6 +298,82 @@
 	}
 }
 
+// handleFailureDomainsRequest handles failureDomains operation.
+//
+// Returns the failure domains that are out of use, or that instances are in.
+//
+// GET /operator/v1/failure-domains
+func (s *Server) handleFailureDomainsRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err error
+	)
+
+	var rawBody []byte
+
+	var response *FailureDomains
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    FailureDomainsOperation,
+			OperationSummary: "Returns the failure domains that are out of use, or that instances are in.",
+			OperationID:      "failureDomains",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params:           middleware.Parameters{},
+			Raw:              r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = struct{}
+			Response = *FailureDomains
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			nil,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.FailureDomains(ctx)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.FailureDomains(ctx)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*FailedStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeFailureDomainsResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleHistoryRequest handles history operation.
 //
 // Returns who published each kept revision, the oldest first.
@@ -1324,6 +1400,197 @@
 	}
 }
 
+// handleTakeFailureDomainBackRequest handles takeFailureDomainBack operation.
+//
+// Takes a failure domain back into use. Taking it back again changes nothing.
+//
+// POST /operator/v1/failure-domains/{name}/back
+func (s *Server) handleTakeFailureDomainBackRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: TakeFailureDomainBackOperation,
+			ID:   "takeFailureDomainBack",
+		}
+	)
+	params, err := decodeTakeFailureDomainBackParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+
+	var response *TakeFailureDomainBackNoContent
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    TakeFailureDomainBackOperation,
+			OperationSummary: "Takes a failure domain back into use. Taking it back again changes nothing.",
+			OperationID:      "takeFailureDomainBack",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "name",
+					In:   "path",
+				}: params.Name,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = TakeFailureDomainBackParams
+			Response = *TakeFailureDomainBackNoContent
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackTakeFailureDomainBackParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				err = s.h.TakeFailureDomainBack(ctx, params)
+				return response, err
+			},
+		)
+	} else {
+		err = s.h.TakeFailureDomainBack(ctx, params)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*FailedStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeTakeFailureDomainBackResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
+// handleTakeFailureDomainOutRequest handles takeFailureDomainOut operation.
+//
+// Takes a failure domain out of use, so that its targets get no calls. Taking it out again changes
+// nothing.
+//
+// POST /operator/v1/failure-domains/{name}/out
+func (s *Server) handleTakeFailureDomainOutRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: TakeFailureDomainOutOperation,
+			ID:   "takeFailureDomainOut",
+		}
+	)
+	params, err := decodeTakeFailureDomainOutParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+
+	var response *TakeFailureDomainOutNoContent
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    TakeFailureDomainOutOperation,
+			OperationSummary: "Takes a failure domain out of use, so that its targets get no calls. Taking it out again changes nothing.",
+			OperationID:      "takeFailureDomainOut",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "name",
+					In:   "path",
+				}: params.Name,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = TakeFailureDomainOutParams
+			Response = *TakeFailureDomainOutNoContent
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackTakeFailureDomainOutParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				err = s.h.TakeFailureDomainOut(ctx, params)
+				return response, err
+			},
+		)
+	} else {
+		err = s.h.TakeFailureDomainOut(ctx, params)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*FailedStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeTakeFailureDomainOutResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleTargetsRequest handles targets operation.
 //
 // Returns the announced targets.
--- a/internal/api/oas/oas_json_gen.go
+++ b/internal/api/oas/oas_json_gen.go
@@ -872,6 +872,327 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *FailureDomain) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *FailureDomain) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("name")
+		e.Str(s.Name)
+	}
+	{
+		e.FieldStart("out-of-use")
+		e.Bool(s.OutOfUse)
+	}
+	{
+		e.FieldStart("out-for")
+		e.Str(s.OutFor)
+	}
+	{
+		e.FieldStart("daemons")
+		e.Int(s.Daemons)
+	}
+	{
+		e.FieldStart("targets")
+		e.Int(s.Targets)
+	}
+}
+
+var jsonFieldsNameOfFailureDomain = [5]string{
+	0: "name",
+	1: "out-of-use",
+	2: "out-for",
+	3: "daemons",
+	4: "targets",
+}
+
+// Decode decodes FailureDomain from json.
+func (s *FailureDomain) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode FailureDomain to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "name":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Name = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"name\"")
+			}
+		case "out-of-use":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Bool()
+				s.OutOfUse = bool(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"out-of-use\"")
+			}
+		case "out-for":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Str()
+				s.OutFor = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"out-for\"")
+			}
+		case "daemons":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Int()
+				s.Daemons = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"daemons\"")
+			}
+		case "targets":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				v, err := d.Int()
+				s.Targets = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"targets\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode FailureDomain")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00011111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfFailureDomain) {
+					name = jsonFieldsNameOfFailureDomain[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *FailureDomain) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *FailureDomain) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *FailureDomains) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *FailureDomains) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("version")
+		e.UInt64(s.Version)
+	}
+	{
+		e.FieldStart("daemons")
+		e.Int(s.Daemons)
+	}
+	{
+		e.FieldStart("in-force")
+		e.Int(s.InForce)
+	}
+	{
+		e.FieldStart("domains")
+		e.ArrStart()
+		for _, elem := range s.Domains {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+}
+
+var jsonFieldsNameOfFailureDomains = [4]string{
+	0: "version",
+	1: "daemons",
+	2: "in-force",
+	3: "domains",
+}
+
+// Decode decodes FailureDomains from json.
+func (s *FailureDomains) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode FailureDomains to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "version":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.UInt64()
+				s.Version = uint64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"version\"")
+			}
+		case "daemons":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Int()
+				s.Daemons = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"daemons\"")
+			}
+		case "in-force":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Int()
+				s.InForce = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"in-force\"")
+			}
+		case "domains":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				s.Domains = make([]FailureDomain, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem FailureDomain
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Domains = append(s.Domains, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"domains\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode FailureDomains")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00001111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfFailureDomains) {
+					name = jsonFieldsNameOfFailureDomains[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *FailureDomains) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *FailureDomains) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes FailureKind as json.
 func (s FailureKind) Encode(e *jx.Encoder) {
 	e.Str(string(s))
@@ -3062,6 +3383,16 @@
 		e.FieldStart("revision")
 		e.UInt64(s.Revision)
 	}
+	{
+		if s.OutOfUse != nil {
+			e.FieldStart("out-of-use")
+			e.ArrStart()
+			for _, elem := range s.OutOfUse {
+				e.Str(elem)
+			}
+			e.ArrEnd()
+		}
+	}
 	{
 		e.FieldStart("daemons")
 		e.ArrStart()
@@ -3072,7 +3403,7 @@
 	}
 }
 
-var jsonFieldsNameOfStatus = [8]string{
+var jsonFieldsNameOfStatus = [9]string{
 	0: "process",
 	1: "cluster",
 	2: "leader",
@@ -3080,7 +3411,8 @@
 	4: "term",
 	5: "applied",
 	6: "revision",
-	7: "daemons",
+	7: "out-of-use",
+	8: "daemons",
 }
 
 // Decode decodes Status from json.
@@ -3088,7 +3420,7 @@
 	if s == nil {
 		return errors.New("invalid: unable to decode Status to nil")
 	}
-	var requiredBitSet [1]uint8
+	var requiredBitSet [2]uint8
 
 	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
 		switch string(k) {
@@ -3174,8 +3506,27 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"revision\"")
 			}
+		case "out-of-use":
+			if err := func() error {
+				s.OutOfUse = make([]string, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem string
+					v, err := d.Str()
+					elem = string(v)
+					if err != nil {
+						return err
+					}
+					s.OutOfUse = append(s.OutOfUse, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"out-of-use\"")
+			}
 		case "daemons":
-			requiredBitSet[0] |= 1 << 7
+			requiredBitSet[1] |= 1 << 0
 			if err := func() error {
 				s.Daemons = make([]Daemon, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -3201,8 +3552,9 @@
 	}
 	// Validate required fields.
 	var failures []validate.FieldError
-	for i, mask := range [1]uint8{
-		0b11110111,
+	for i, mask := range [2]uint8{
+		0b01110111,
+		0b00000001,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
--- a/internal/api/oas/oas_parameters_gen.go
+++ b/internal/api/oas/oas_parameters_gen.go
@@ -394,3 +394,173 @@
 	}
 	return params, nil
 }
+
+// TakeFailureDomainBackParams is parameters of takeFailureDomainBack operation.
+type TakeFailureDomainBackParams struct {
+	Name string
+}
+
+func unpackTakeFailureDomainBackParams(packed middleware.Parameters) (params TakeFailureDomainBackParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "name",
+			In:   "path",
+		}
+		params.Name = packed[key].(string)
+	}
+	return params
+}
+
+func decodeTakeFailureDomainBackParams(args [1]string, argsEscaped bool, r *http.Request) (params TakeFailureDomainBackParams, _ error) {
+	// Decode path: name.
+	if err := func() error {
+		param := args[0]
+		if argsEscaped {
+			unescaped, err := url.PathUnescape(args[0])
+			if err != nil {
+				return errors.Wrap(err, "unescape path")
+			}
+			param = unescaped
+		}
+		if len(param) > 0 {
+			d := uri.NewPathDecoder(uri.PathDecoderConfig{
+				Param:   "name",
+				Value:   param,
+				Style:   uri.PathStyleSimple,
+				Explode: false,
+			})
+
+			if err := func() error {
+				val, err := d.DecodeValue()
+				if err != nil {
+					return err
+				}
+
+				c, err := conv.ToString(val)
+				if err != nil {
+					return err
+				}
+
+				params.Name = c
+				return nil
+			}(); err != nil {
+				return err
+			}
+			if err := func() error {
+				if err := (validate.String{
+					MinLength:     1,
+					MinLengthSet:  true,
+					MaxLength:     128,
+					MaxLengthSet:  true,
+					Email:         false,
+					Hostname:      false,
+					Regex:         nil,
+					MinNumeric:    0,
+					MinNumericSet: false,
+					MaxNumeric:    0,
+					MaxNumericSet: false,
+				}).Validate(string(params.Name)); err != nil {
+					return errors.Wrap(err, "string")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		} else {
+			return validate.ErrFieldRequired
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "name",
+			In:   "path",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
+
+// TakeFailureDomainOutParams is parameters of takeFailureDomainOut operation.
+type TakeFailureDomainOutParams struct {
+	Name string
+}
+
+func unpackTakeFailureDomainOutParams(packed middleware.Parameters) (params TakeFailureDomainOutParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "name",
+			In:   "path",
+		}
+		params.Name = packed[key].(string)
+	}
+	return params
+}
+
+func decodeTakeFailureDomainOutParams(args [1]string, argsEscaped bool, r *http.Request) (params TakeFailureDomainOutParams, _ error) {
+	// Decode path: name.
+	if err := func() error {
+		param := args[0]
+		if argsEscaped {
+			unescaped, err := url.PathUnescape(args[0])
+			if err != nil {
+				return errors.Wrap(err, "unescape path")
+			}
+			param = unescaped
+		}
+		if len(param) > 0 {
+			d := uri.NewPathDecoder(uri.PathDecoderConfig{
+				Param:   "name",
+				Value:   param,
+				Style:   uri.PathStyleSimple,
+				Explode: false,
+			})
+
+			if err := func() error {
+				val, err := d.DecodeValue()
+				if err != nil {
+					return err
+				}
+
+				c, err := conv.ToString(val)
+				if err != nil {
+					return err
+				}
+
+				params.Name = c
+				return nil
+			}(); err != nil {
+				return err
+			}
+			if err := func() error {
+				if err := (validate.String{
+					MinLength:     1,
+					MinLengthSet:  true,
+					MaxLength:     128,
+					MaxLengthSet:  true,
+					Email:         false,
+					Hostname:      false,
+					Regex:         nil,
+					MinNumeric:    0,
+					MinNumericSet: false,
+					MaxNumeric:    0,
+					MaxNumericSet: false,
+				}).Validate(string(params.Name)); err != nil {
+					return errors.Wrap(err, "string")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		} else {
+			return validate.ErrFieldRequired
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "name",
+			In:   "path",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
--- a/internal/api/oas/oas_response_decoders_gen.go
+++ b/internal/api/oas/oas_response_decoders_gen.go
@@ -276,6 +276,107 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
+func decodeFailureDomainsResponse(resp *http.Response) (res *FailureDomains, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response FailureDomains
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *FailedStatusCode, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Failure
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &FailedStatusCode{
+				StatusCode: resp.StatusCode,
+				Response:   response,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
 func decodeHistoryResponse(resp *http.Response) (res *History, _ error) {
 	switch resp.StatusCode {
 	case 200:
@@ -1547,6 +1648,126 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
+func decodeTakeFailureDomainBackResponse(resp *http.Response) (res *TakeFailureDomainBackNoContent, _ error) {
+	switch resp.StatusCode {
+	case 204:
+		// Code 204.
+		return &TakeFailureDomainBackNoContent{}, nil
+	}
+	// Convenient error response.
+	defRes, err := func() (res *FailedStatusCode, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Failure
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &FailedStatusCode{
+				StatusCode: resp.StatusCode,
+				Response:   response,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
+func decodeTakeFailureDomainOutResponse(resp *http.Response) (res *TakeFailureDomainOutNoContent, _ error) {
+	switch resp.StatusCode {
+	case 204:
+		// Code 204.
+		return &TakeFailureDomainOutNoContent{}, nil
+	}
+	// Convenient error response.
+	defRes, err := func() (res *FailedStatusCode, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Failure
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &FailedStatusCode{
+				StatusCode: resp.StatusCode,
+				Response:   response,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
 func decodeTargetsResponse(resp *http.Response) (res *Targets, _ error) {
 	switch resp.StatusCode {
 	case 200:
--- a/internal/api/oas/oas_response_encoders_gen.go
+++ b/internal/api/oas/oas_response_encoders_gen.go
@@ -43,6 +43,19 @@
 	return nil
 }
 
+func encodeFailureDomainsResponse(response *FailureDomains, w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeHistoryResponse(response *History, w http.ResponseWriter) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
@@ -248,6 +261,18 @@
 	return nil
 }
 
+func encodeTakeFailureDomainBackResponse(response *TakeFailureDomainBackNoContent, w http.ResponseWriter) error {
+	w.WriteHeader(204)
+
+	return nil
+}
+
+func encodeTakeFailureDomainOutResponse(response *TakeFailureDomainOutNoContent, w http.ResponseWriter) error {
+	w.WriteHeader(204)
+
+	return nil
+}
+
 func encodeTargetsResponse(response *Targets, w http.ResponseWriter) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
--- a/internal/api/oas/oas_router_gen.go
+++ b/internal/api/oas/oas_router_gen.go
@@ -14,10 +14,10 @@
 	rn1AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
-	rn10AllowedHeaders = map[string]string{
+	rn11AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
-	rn20AllowedHeaders = map[string]string{
+	rn21AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
 )
@@ -123,6 +123,123 @@
 					return
 				}
 
+			case 'f': // Prefix: "failure-domains"
+
+				if l := len("failure-domains"); len(elem) >= l && elem[0:l] == "failure-domains" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					switch r.Method {
+					case "GET":
+						s.handleFailureDomainsRequest([0]string{}, elemIsEscaped, w, r)
+					default:
+						s.notAllowed(w, r, notAllowedParams{
+							allowedMethods: "GET",
+							allowedHeaders: nil,
+							acceptPost:     "",
+							acceptPatch:    "",
+						})
+					}
+
+					return
+				}
+				switch elem[0] {
+				case '/': // Prefix: "/"
+
+					if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					// Param: "name"
+					// Match until "/"
+					idx := strings.IndexByte(elem, '/')
+					if idx < 0 {
+						idx = len(elem)
+					}
+					args[0] = elem[:idx]
+					elem = elem[idx:]
+
+					if len(elem) == 0 {
+						break
+					}
+					switch elem[0] {
+					case '/': // Prefix: "/"
+
+						if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+							elem = elem[l:]
+						} else {
+							break
+						}
+
+						if len(elem) == 0 {
+							break
+						}
+						switch elem[0] {
+						case 'b': // Prefix: "back"
+
+							if l := len("back"); len(elem) >= l && elem[0:l] == "back" {
+								elem = elem[l:]
+							} else {
+								break
+							}
+
+							if len(elem) == 0 {
+								// Leaf node.
+								switch r.Method {
+								case "POST":
+									s.handleTakeFailureDomainBackRequest([1]string{
+										args[0],
+									}, elemIsEscaped, w, r)
+								default:
+									s.notAllowed(w, r, notAllowedParams{
+										allowedMethods: "POST",
+										allowedHeaders: nil,
+										acceptPost:     "",
+										acceptPatch:    "",
+									})
+								}
+
+								return
+							}
+
+						case 'o': // Prefix: "out"
+
+							if l := len("out"); len(elem) >= l && elem[0:l] == "out" {
+								elem = elem[l:]
+							} else {
+								break
+							}
+
+							if len(elem) == 0 {
+								// Leaf node.
+								switch r.Method {
+								case "POST":
+									s.handleTakeFailureDomainOutRequest([1]string{
+										args[0],
+									}, elemIsEscaped, w, r)
+								default:
+									s.notAllowed(w, r, notAllowedParams{
+										allowedMethods: "POST",
+										allowedHeaders: nil,
+										acceptPost:     "",
+										acceptPatch:    "",
+									})
+								}
+
+								return
+							}
+
+						}
+
+					}
+
+				}
+
 			case 'h': // Prefix: "health/"
 
 				if l := len("health/"); len(elem) >= l && elem[0:l] == "health/" {
@@ -295,7 +412,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "POST",
-							allowedHeaders: rn10AllowedHeaders,
+							allowedHeaders: rn11AllowedHeaders,
 							acceptPost:     "application/json",
 							acceptPatch:    "",
 						})
@@ -470,7 +587,7 @@
 						default:
 							s.notAllowed(w, r, notAllowedParams{
 								allowedMethods: "POST",
-								allowedHeaders: rn20AllowedHeaders,
+								allowedHeaders: rn21AllowedHeaders,
 								acceptPost:     "application/json",
 								acceptPatch:    "",
 							})
@@ -720,6 +837,119 @@
 					}
 				}
 
+			case 'f': // Prefix: "failure-domains"
+
+				if l := len("failure-domains"); len(elem) >= l && elem[0:l] == "failure-domains" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					switch method {
+					case "GET":
+						r.name = FailureDomainsOperation
+						r.summary = "Returns the failure domains that are out of use, or that instances are in."
+						r.operationID = "failureDomains"
+						r.operationGroup = ""
+						r.pathPattern = "/operator/v1/failure-domains"
+						r.args = args
+						r.count = 0
+						return r, true
+					default:
+						return
+					}
+				}
+				switch elem[0] {
+				case '/': // Prefix: "/"
+
+					if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					// Param: "name"
+					// Match until "/"
+					idx := strings.IndexByte(elem, '/')
+					if idx < 0 {
+						idx = len(elem)
+					}
+					args[0] = elem[:idx]
+					elem = elem[idx:]
+
+					if len(elem) == 0 {
+						break
+					}
+					switch elem[0] {
+					case '/': // Prefix: "/"
+
+						if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+							elem = elem[l:]
+						} else {
+							break
+						}
+
+						if len(elem) == 0 {
+							break
+						}
+						switch elem[0] {
+						case 'b': // Prefix: "back"
+
+							if l := len("back"); len(elem) >= l && elem[0:l] == "back" {
+								elem = elem[l:]
+							} else {
+								break
+							}
+
+							if len(elem) == 0 {
+								// Leaf node.
+								switch method {
+								case "POST":
+									r.name = TakeFailureDomainBackOperation
+									r.summary = "Takes a failure domain back into use. Taking it back again changes nothing."
+									r.operationID = "takeFailureDomainBack"
+									r.operationGroup = ""
+									r.pathPattern = "/operator/v1/failure-domains/{name}/back"
+									r.args = args
+									r.count = 1
+									return r, true
+								default:
+									return
+								}
+							}
+
+						case 'o': // Prefix: "out"
+
+							if l := len("out"); len(elem) >= l && elem[0:l] == "out" {
+								elem = elem[l:]
+							} else {
+								break
+							}
+
+							if len(elem) == 0 {
+								// Leaf node.
+								switch method {
+								case "POST":
+									r.name = TakeFailureDomainOutOperation
+									r.summary = "Takes a failure domain out of use, so that its targets get no calls. Taking it out again changes nothing."
+									r.operationID = "takeFailureDomainOut"
+									r.operationGroup = ""
+									r.pathPattern = "/operator/v1/failure-domains/{name}/out"
+									r.args = args
+									r.count = 1
+									return r, true
+								default:
+									return
+								}
+							}
+
+						}
+
+					}
+
+				}
+
 			case 'h': // Prefix: "health/"
 
 				if l := len("health/"); len(elem) >= l && elem[0:l] == "health/" {
--- a/internal/api/oas/oas_schemas_gen.go
+++ b/internal/api/oas/oas_schemas_gen.go
@@ -364,6 +364,119 @@
 	s.LeaderAddress = val
 }
 
+// Ref: #/components/schemas/FailureDomain
+type FailureDomain struct {
+	Name     string `json:"name"`
+	OutOfUse bool   `json:"out-of-use"`
+	// The time since it was taken out of use.
+	OutFor string `json:"out-for"`
+	// The attached daemons in it.
+	Daemons int `json:"daemons"`
+	// The announced targets in it.
+	Targets int `json:"targets"`
+}
+
+// GetName returns the value of Name.
+func (s *FailureDomain) GetName() string {
+	return s.Name
+}
+
+// GetOutOfUse returns the value of OutOfUse.
+func (s *FailureDomain) GetOutOfUse() bool {
+	return s.OutOfUse
+}
+
+// GetOutFor returns the value of OutFor.
+func (s *FailureDomain) GetOutFor() string {
+	return s.OutFor
+}
+
+// GetDaemons returns the value of Daemons.
+func (s *FailureDomain) GetDaemons() int {
+	return s.Daemons
+}
+
+// GetTargets returns the value of Targets.
+func (s *FailureDomain) GetTargets() int {
+	return s.Targets
+}
+
+// SetName sets the value of Name.
+func (s *FailureDomain) SetName(val string) {
+	s.Name = val
+}
+
+// SetOutOfUse sets the value of OutOfUse.
+func (s *FailureDomain) SetOutOfUse(val bool) {
+	s.OutOfUse = val
+}
+
+// SetOutFor sets the value of OutFor.
+func (s *FailureDomain) SetOutFor(val string) {
+	s.OutFor = val
+}
+
+// SetDaemons sets the value of Daemons.
+func (s *FailureDomain) SetDaemons(val int) {
+	s.Daemons = val
+}
+
+// SetTargets sets the value of Targets.
+func (s *FailureDomain) SetTargets(val int) {
+	s.Targets = val
+}
+
+// Ref: #/components/schemas/FailureDomains
+type FailureDomains struct {
+	// The number of changes by orders so far.
+	Version uint64 `json:"version"`
+	// The daemons attached to this instance.
+	Daemons int `json:"daemons"`
+	// Those of them that have confirmed this version.
+	InForce int             `json:"in-force"`
+	Domains []FailureDomain `json:"domains"`
+}
+
+// GetVersion returns the value of Version.
+func (s *FailureDomains) GetVersion() uint64 {
+	return s.Version
+}
+
+// GetDaemons returns the value of Daemons.
+func (s *FailureDomains) GetDaemons() int {
+	return s.Daemons
+}
+
+// GetInForce returns the value of InForce.
+func (s *FailureDomains) GetInForce() int {
+	return s.InForce
+}
+
+// GetDomains returns the value of Domains.
+func (s *FailureDomains) GetDomains() []FailureDomain {
+	return s.Domains
+}
+
+// SetVersion sets the value of Version.
+func (s *FailureDomains) SetVersion(val uint64) {
+	s.Version = val
+}
+
+// SetDaemons sets the value of Daemons.
+func (s *FailureDomains) SetDaemons(val int) {
+	s.Daemons = val
+}
+
+// SetInForce sets the value of InForce.
+func (s *FailureDomains) SetInForce(val int) {
+	s.InForce = val
+}
+
+// SetDomains sets the value of Domains.
+func (s *FailureDomains) SetDomains(val []FailureDomain) {
+	s.Domains = val
+}
+
 type FailureKind string
 
 const (
@@ -1285,6 +1398,8 @@
 	// The last log entry that this instance applied.
 	Applied  uint64 `json:"applied"`
 	Revision uint64 `json:"revision"`
+	// The failure domains out of use, as far as this instance has applied the log.
+	OutOfUse []string `json:"out-of-use"`
 	// The daemons attached to this instance.
 	Daemons []Daemon `json:"daemons"`
 }
@@ -1324,6 +1439,11 @@
 	return s.Revision
 }
 
+// GetOutOfUse returns the value of OutOfUse.
+func (s *Status) GetOutOfUse() []string {
+	return s.OutOfUse
+}
+
 // GetDaemons returns the value of Daemons.
 func (s *Status) GetDaemons() []Daemon {
 	return s.Daemons
@@ -1364,11 +1484,22 @@
 	s.Revision = val
 }
 
+// SetOutOfUse sets the value of OutOfUse.
+func (s *Status) SetOutOfUse(val []string) {
+	s.OutOfUse = val
+}
+
 // SetDaemons sets the value of Daemons.
 func (s *Status) SetDaemons(val []Daemon) {
 	s.Daemons = val
 }
 
+// TakeFailureDomainBackNoContent is response for TakeFailureDomainBack operation.
+type TakeFailureDomainBackNoContent struct{}
+
+// TakeFailureDomainOutNoContent is response for TakeFailureDomainOut operation.
+type TakeFailureDomainOutNoContent struct{}
+
 // Ref: #/components/schemas/Target
 type Target struct {
 	Name          string `json:"name"`
--- a/internal/api/oas/oas_server_gen.go
+++ b/internal/api/oas/oas_server_gen.go
@@ -26,6 +26,12 @@
 	//
 	// GET /operator/v1/diff
 	Diff(ctx context.Context, params DiffParams) (*Diff, error)
+	// FailureDomains implements failureDomains operation.
+	//
+	// Returns the failure domains that are out of use, or that instances are in.
+	//
+	// GET /operator/v1/failure-domains
+	FailureDomains(ctx context.Context) (*FailureDomains, error)
 	// History implements history operation.
 	//
 	// Returns who published each kept revision, the oldest first.
@@ -98,6 +104,19 @@
 	//
 	// GET /operator/v1/status
 	Status(ctx context.Context) (*Status, error)
+	// TakeFailureDomainBack implements takeFailureDomainBack operation.
+	//
+	// Takes a failure domain back into use. Taking it back again changes nothing.
+	//
+	// POST /operator/v1/failure-domains/{name}/back
+	TakeFailureDomainBack(ctx context.Context, params TakeFailureDomainBackParams) error
+	// TakeFailureDomainOut implements takeFailureDomainOut operation.
+	//
+	// Takes a failure domain out of use, so that its targets get no calls. Taking it out again changes
+	// nothing.
+	//
+	// POST /operator/v1/failure-domains/{name}/out
+	TakeFailureDomainOut(ctx context.Context, params TakeFailureDomainOutParams) error
 	// Targets implements targets operation.
 	//
 	// Returns the announced targets.
--- a/internal/api/oas/oas_unimplemented_gen.go
+++ b/internal/api/oas/oas_unimplemented_gen.go
@@ -40,6 +40,15 @@
 	return r, ht.ErrNotImplemented
 }
 
+// FailureDomains implements failureDomains operation.
+//
+// Returns the failure domains that are out of use, or that instances are in.
+//
+// GET /operator/v1/failure-domains
+func (UnimplementedHandler) FailureDomains(ctx context.Context) (r *FailureDomains, _ error) {
+	return r, ht.ErrNotImplemented
+}
+
 // History implements history operation.
 //
 // Returns who published each kept revision, the oldest first.
@@ -148,6 +157,25 @@
 	return r, ht.ErrNotImplemented
 }
 
+// TakeFailureDomainBack implements takeFailureDomainBack operation.
+//
+// Takes a failure domain back into use. Taking it back again changes nothing.
+//
+// POST /operator/v1/failure-domains/{name}/back
+func (UnimplementedHandler) TakeFailureDomainBack(ctx context.Context, params TakeFailureDomainBackParams) error {
+	return ht.ErrNotImplemented
+}
+
+// TakeFailureDomainOut implements takeFailureDomainOut operation.
+//
+// Takes a failure domain out of use, so that its targets get no calls. Taking it out again changes
+// nothing.
+//
+// POST /operator/v1/failure-domains/{name}/out
+func (UnimplementedHandler) TakeFailureDomainOut(ctx context.Context, params TakeFailureDomainOutParams) error {
+	return ht.ErrNotImplemented
+}
+
 // Targets implements targets operation.
 //
 // Returns the announced targets.
--- a/internal/api/oas/oas_validators_gen.go
+++ b/internal/api/oas/oas_validators_gen.go
@@ -133,6 +133,29 @@
 	return nil
 }
 
+func (s *FailureDomains) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.Domains == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "domains",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
 func (s FailureKind) Validate() error {
 	switch s {
 	case "not-leader":
--- a/internal/cmd/root.go
+++ b/internal/cmd/root.go
@@ -31,6 +31,7 @@
 	newKeyCommand,
 	newTargetsCommand,
 	newQuarantineCommand,
+	newDomainsCommand,
 	newMembersCommand,
 	newStatusCommand,
 	newDaemonCommand,
--- a/internal/cmd/statuscmd.go
+++ b/internal/cmd/statuscmd.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/urfave/cli/v3"
 
@@ -29,8 +30,14 @@
 	if leader == "" {
 		leader = "not known"
 	}
-	_, err := fmt.Fprintf(w, "process   %s\ncluster   %s\nleader    %s\nterm      %d\napplied   %d\nrevision  %d\n\n",
+	_, err := fmt.Fprintf(w, "process   %s\ncluster   %s\nleader    %s\nterm      %d\napplied   %d\nrevision  %d\n",
 		s.Process, s.Cluster, leader, s.Term, s.Applied, s.Revision)
+	if err == nil && len(s.OutOfUse) > 0 {
+		_, err = fmt.Fprintf(w, "failure domains out of use: %s\n", strings.Join(s.OutOfUse, ", "))
+	}
+	if err == nil {
+		_, err = fmt.Fprintln(w)
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/control/failuredomains.go
+++ b/internal/control/failuredomains.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -20,8 +21,8 @@
 // that holds already succeeds again. It fails with NotLeader if this instance does not lead, with Invalid if the order
 // can't be taken, and with Unavailable if its outcome is unknown.
 func (c *Control) OrderFailureDomain(ctx context.Context, order evacuation.Order) error {
-	if !order.Valid() {
-		return operator.NewFailure(operator.Invalid, fmt.Sprintf("%q is no name of a failure domain", order.Domain))
+	if err := order.Validate(); err != nil {
+		return operator.NewFailure(operator.Invalid, err.Error())
 	}
 	if !c.store.HoldsLease(boottime.Now()) {
 		return errNotLeader
@@ -72,6 +73,56 @@
 	return domainsReport{Version: state.Version, OutOfUse: append([]string{}, state.Domains...)}
 }
 
+// FailureDomains returns the failure domains that are out of use, or that have attached daemons or announced targets.
+func (c *Control) FailureDomains(ctx context.Context) (operator.FailureDomains, error) {
+	l := c.leadership.Load()
+	if l == nil {
+		return operator.FailureDomains{}, c.notLeaderFailure(ctx)
+	}
+	domains := make(map[string]operator.FailureDomain)
+	result := operator.FailureDomains{}
+	now := boottime.Now()
+	c.store.Read(func() {
+		state := c.state.evacuations.State(0)
+		result.Version = state.Version
+		for _, name := range state.Domains {
+			since, _ := c.state.evacuations.Since(name)
+			domains[name] = operator.FailureDomain{OutOfUse: true, OutFor: max(now.Sub(since), 0).Truncate(time.Second)}
+		}
+	})
+	for _, s := range l.allSessions() {
+		d := domains[s.attach.GetFailureDomain()]
+		d.Daemons++
+		domains[s.attach.GetFailureDomain()] = d
+		result.Daemons++
+		if s.outOfUse.Load() == result.Version {
+			result.InForce++
+		}
+	}
+	for name, targets := range l.targetsByDomain() {
+		d := domains[name]
+		d.Targets = targets
+		domains[name] = d
+	}
+	for _, name := range slices.Sorted(maps.Keys(domains)) {
+		d := domains[name]
+		d.Name = name
+		result.Domains = append(result.Domains, d)
+	}
+	return result, c.requireLease(ctx)
+}
+
+// targetsByDomain returns the number of announced targets in each failure domain that has any.
+func (l *leadership) targetsByDomain() map[string]int {
+	l.targetMu.Lock()
+	defer l.targetMu.Unlock()
+	counts := make(map[string]int)
+	for _, t := range l.targets.Targets() {
+		counts[t.FailureDomain]++
+	}
+	return counts
+}
+
 // evacuations returns the failure domains out of use, as far as this instance has applied the log.
 func (c *Control) evacuations(cluster uint64) (state evacuation.State) {
 	c.store.Read(func() { state = c.state.evacuations.State(cluster) })
@@ -84,15 +135,7 @@
 	if l == nil {
 		return 0
 	}
-	l.targetMu.Lock()
-	defer l.targetMu.Unlock()
-	count := 0
-	for _, t := range l.targets.Targets() {
-		if t.FailureDomain == domain {
-			count++
-		}
-	}
-	return count
+	return l.targetsByDomain()[domain]
 }
 
 // KnowsFailureDomain reports whether a failure domain is out of use, or has an attached daemon or an announced target. It
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -38,6 +38,7 @@
 	closed           chan struct{}
 	closeOnce        sync.Once
 	revision         atomic.Uint64
+	outOfUse         atomic.Uint64 // version that the daemon last confirmed
 	mu               sync.Mutex
 	calledServices   []string
 	servicesChanged  bool
@@ -185,6 +186,7 @@
 	}
 	s.pendingHeartbeat = heartbeat
 	s.revision.Store(heartbeat.GetRevision())
+	s.outOfUse.Store(heartbeat.GetOutOfUseVersion())
 	s.mu.Unlock()
 	s.wake()
 }
--- a/internal/control/system.go
+++ b/internal/control/system.go
@@ -159,6 +159,7 @@
 		status.LeaderAddress = c.leaderOperatorsAddress(ctx)
 	}
 	c.store.Read(func() { status.Revision = c.state.configuration.Revision() })
+	status.OutOfUse = c.evacuations(0).Domains
 	if l := c.leadership.Load(); l != nil {
 		status.Daemons = daemonsOf(l)
 	}
--- a/internal/membership/evacuation/order.go
+++ b/internal/membership/evacuation/order.go
@@ -1,5 +1,7 @@
 package evacuation
 
+import "github.com/joomcode/errorx"
+
 // maxNameBytes bounds the replicated state together with maxDomains.
 const maxNameBytes = 128
 
@@ -10,15 +12,15 @@
 	Out    bool
 }
 
-// Valid reports whether the order names a failure domain that the register can hold.
-func (o Order) Valid() bool {
-	if o.Domain == "" || len(o.Domain) > maxNameBytes {
-		return false
-	}
+// Validate returns an error unless the order names a failure domain that the register can hold, with 1 to 128 printable
+// ASCII characters without spaces.
+func (o Order) Validate() error {
+	valid := o.Domain != "" && len(o.Domain) <= maxNameBytes
 	for _, r := range o.Domain {
-		if r <= ' ' || r >= 0x7f {
-			return false
-		}
+		valid = valid && r > ' ' && r < 0x7f
+	}
+	if !valid {
+		return errorx.IllegalArgument.New("ordering a failure domain: %q is no name of one", o.Domain)
 	}
-	return true
+	return nil
 }
--- a/internal/membership/evacuation/register.go
+++ b/internal/membership/evacuation/register.go
@@ -24,7 +24,7 @@
 // Apply carries out an order and reports whether it holds now, which it also does if it held before. It reports false for
 // an invalid order and for one that takes out more failure domains than the register can hold.
 func (r *Register) Apply(at time.Time, o Order) bool {
-	if !o.Valid() {
+	if o.Validate() != nil {
 		return false
 	}
 	_, out := r.since[o.Domain]
--- a/internal/operator/clientfleet.go
+++ b/internal/operator/clientfleet.go
@@ -5,6 +5,7 @@
 	"io"
 
 	"sapphirespread.example/internal/api/oas"
+	"sapphirespread.example/internal/membership/evacuation"
 )
 
 // Targets returns the announced targets.
@@ -36,6 +37,27 @@
 	})
 }
 
+// FailureDomains returns the failure domains that the leader knows.
+func (c *Client) FailureDomains(ctx context.Context) (FailureDomains, error) {
+	response, err := callWithRetry(ctx, c, func(ctx context.Context, client *oas.Client) (*oas.FailureDomains, error) {
+		return client.FailureDomains(ctx)
+	})
+	if err != nil {
+		return FailureDomains{}, err
+	}
+	return decodeFailureDomains(response), nil
+}
+
+// OrderFailureDomain takes a failure domain out of use, or back into use.
+func (c *Client) OrderFailureDomain(ctx context.Context, order evacuation.Order) error {
+	return c.doWithoutResult(ctx, func(ctx context.Context, client *oas.Client) error {
+		if order.Out {
+			return client.TakeFailureDomainOut(ctx, oas.TakeFailureDomainOutParams{Name: order.Domain})
+		}
+		return client.TakeFailureDomainBack(ctx, oas.TakeFailureDomainBackParams{Name: order.Domain})
+	})
+}
+
 // Members returns the control instances of the cluster.
 func (c *Client) Members(ctx context.Context) ([]Member, error) {
 	response, err := callWithRetry(ctx, c, func(ctx context.Context, client *oas.Client) (*oas.Members, error) {
--- a/internal/operator/decode.go
+++ b/internal/operator/decode.go
@@ -84,6 +84,20 @@
 	return QuarantineEntry{Fingerprint: e.Fingerprint, State: e.State, Remaining: remaining, Crashes: e.Crashes}
 }
 
+func decodeFailureDomains(d *oas.FailureDomains) FailureDomains {
+	return FailureDomains{
+		Version: d.Version,
+		Daemons: d.Daemons,
+		InForce: d.InForce,
+		Domains: mapSlice(d.Domains, decodeFailureDomain),
+	}
+}
+
+func decodeFailureDomain(d oas.FailureDomain) FailureDomain {
+	outFor, _ := time.ParseDuration(d.OutFor)
+	return FailureDomain{Name: d.Name, OutOfUse: d.OutOfUse, OutFor: outFor, Daemons: d.Daemons, Targets: d.Targets}
+}
+
 func decodeMember(m oas.Member) Member {
 	return Member{Name: m.Name, Address: parseAddress(m.Address), Role: Role(m.Role), Match: m.Match}
 }
@@ -97,6 +111,7 @@
 		Term:          s.Term,
 		Applied:       s.Applied,
 		Revision:      s.Revision,
+		OutOfUse:      s.OutOfUse,
 		Daemons:       mapSlice(s.Daemons, decodeDaemon),
 	}
 }
--- a/internal/operator/dryrun.go
+++ b/internal/operator/dryrun.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sapphirespread.example/configuration"
+	"sapphirespread.example/internal/membership/evacuation"
 )
 
 // unusedTime is the publish time of a dry run, which is never reported.
@@ -64,6 +65,14 @@
 	return NewFailure(NotFound, fmt.Sprintf("no entry has the fingerprint %s", fingerprint))
 }
 
+// OrderFailureDomain returns a Failure of kind Invalid if the order can't be taken.
+func (d *DryRun) OrderFailureDomain(_ context.Context, order evacuation.Order) error {
+	if err := order.Validate(); err != nil {
+		return NewFailure(Invalid, err.Error())
+	}
+	return nil
+}
+
 // AddMember returns nil and adds no member.
 func (d *DryRun) AddMember(context.Context, NewMember) error { return nil }
 
--- a/internal/operator/encode.go
+++ b/internal/operator/encode.go
@@ -95,6 +95,25 @@
 	}
 }
 
+func encodeFailureDomains(d FailureDomains) *oas.FailureDomains {
+	return &oas.FailureDomains{
+		Version: d.Version,
+		Daemons: d.Daemons,
+		InForce: d.InForce,
+		Domains: mapSlice(d.Domains, encodeFailureDomain),
+	}
+}
+
+func encodeFailureDomain(d FailureDomain) oas.FailureDomain {
+	return oas.FailureDomain{
+		Name:     d.Name,
+		OutOfUse: d.OutOfUse,
+		OutFor:   d.OutFor.String(),
+		Daemons:  d.Daemons,
+		Targets:  d.Targets,
+	}
+}
+
 func encodeMember(m Member) oas.Member {
 	return oas.Member{
 		Name: m.Name, Address: formatAddress(m.Address), Role: oas.MemberRole(m.Role), Match: m.Match,
@@ -110,6 +129,7 @@
 		Term:          s.Term,
 		Applied:       s.Applied,
 		Revision:      s.Revision,
+		OutOfUse:      s.OutOfUse,
 		Daemons:       mapSlice(s.Daemons, encodeDaemon),
 	}
 }
--- a/internal/operator/handlerfleet.go
+++ b/internal/operator/handlerfleet.go
@@ -5,6 +5,7 @@
 	"net/netip"
 
 	"sapphirespread.example/internal/api/oas"
+	"sapphirespread.example/internal/membership/evacuation"
 )
 
 func (h *handler) Targets(ctx context.Context) (*oas.Targets, error) {
@@ -27,6 +28,22 @@
 	return h.api.Release(ctx, params.Fingerprint)
 }
 
+func (h *handler) FailureDomains(ctx context.Context) (*oas.FailureDomains, error) {
+	domains, err := h.api.FailureDomains(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return encodeFailureDomains(domains), nil
+}
+
+func (h *handler) TakeFailureDomainOut(ctx context.Context, params oas.TakeFailureDomainOutParams) error {
+	return h.api.OrderFailureDomain(ctx, evacuation.Order{Domain: params.Name, Out: true})
+}
+
+func (h *handler) TakeFailureDomainBack(ctx context.Context, params oas.TakeFailureDomainBackParams) error {
+	return h.api.OrderFailureDomain(ctx, evacuation.Order{Domain: params.Name, Out: false})
+}
+
 func (h *handler) Members(ctx context.Context) (*oas.Members, error) {
 	members, err := h.api.Members(ctx)
 	if err != nil {
--- a/internal/operator/memory.go
+++ b/internal/operator/memory.go
@@ -5,30 +5,33 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"sync"
 	"time"
 
 	"sapphirespread.example/configuration"
+	"sapphirespread.example/internal/membership/evacuation"
 )
 
 // A Memory is an in-memory System without a cluster, which publishes by the same rules as a control instance.
 type Memory struct {
-	mu         sync.Mutex
-	now        func() time.Time
-	registry   *configuration.Registry
-	targets    []Target
-	quarantine []QuarantineEntry
-	members    []Member
-	status     Status
-	events     []byte
+	mu          sync.Mutex
+	now         func() time.Time
+	registry    *configuration.Registry
+	targets     []Target
+	quarantine  []QuarantineEntry
+	evacuations *evacuation.Register
+	members     []Member
+	status      Status
+	events      []byte
 }
 
 var _ System = (*Memory)(nil)
 
 // NewMemory returns a Memory that takes the time of each publish from now.
 func NewMemory(now func() time.Time, opts ...MemoryOption) *Memory {
-	m := &Memory{now: now, registry: configuration.NewRegistry()}
+	m := &Memory{now: now, registry: configuration.NewRegistry(), evacuations: evacuation.NewRegister()}
 	for _, opt := range opts {
 		opt(m)
 	}
@@ -89,6 +92,36 @@
 	return nil
 }
 
+// FailureDomains returns those out of use and those of the targets.
+func (m *Memory) FailureDomains(context.Context) (FailureDomains, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	names := make(map[string]int)
+	for _, t := range m.targets {
+		names[t.FailureDomain]++
+	}
+	state := m.evacuations.State(0)
+	for _, name := range state.Domains {
+		names[name] += 0
+	}
+	domains := FailureDomains{Version: state.Version}
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		domains.Domains = append(domains.Domains, FailureDomain{Name: name, OutOfUse: state.Out(name), Targets: names[name]})
+	}
+	return domains, nil
+}
+
+// OrderFailureDomain applies an order, or returns a Failure of kind Invalid.
+func (m *Memory) OrderFailureDomain(_ context.Context, order evacuation.Order) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := order.Validate(); err != nil {
+		return NewFailure(Invalid, err.Error())
+	}
+	m.evacuations.Apply(m.now(), order)
+	return nil
+}
+
 // Members returns the current members.
 func (m *Memory) Members(context.Context) ([]Member, error) {
 	m.mu.Lock()
@@ -137,6 +170,7 @@
 	defer m.mu.Unlock()
 	status := m.status
 	status.Revision = m.registry.Revision()
+	status.OutOfUse = m.evacuations.State(0).Domains
 	return status, nil
 }
 
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"sapphirespread.example/configuration"
+	"sapphirespread.example/internal/membership/evacuation"
 	"sapphirespread.example/internal/operator"
 )
 
@@ -133,6 +134,18 @@
 	gotMembers, err := client.Members(t.Context())
 	wantMembers := []operator.Member{{Name: "control-2", Address: added.Address, Role: operator.RoleVoter}}
 	requireEqual("members", gotMembers, err, wantMembers, nil)
+	gone := evacuation.Order{Domain: "west", Out: true}
+	requireEqual("out", nil, errors.Join(client.OrderFailureDomain(t.Context(), gone), client.OrderFailureDomain(t.Context(), gone)), nil, nil)
+	gotDomains, err := client.FailureDomains(t.Context())
+	requireEqual("failure domains", gotDomains, err, operator.FailureDomains{Version: 1, Domains: []operator.FailureDomain{
+		{Name: "east", Targets: 1}, {Name: "west", OutOfUse: true},
+	}}, nil)
+	gotStatus, err = client.Status(t.Context())
+	requireEqual("status with a failure domain out of use", gotStatus.OutOfUse, err, []string{"west"}, nil)
+	requireEqual("back", nil, client.OrderFailureDomain(t.Context(), evacuation.Order{Domain: "west"}), nil, nil)
+	if err := client.OrderFailureDomain(t.Context(), evacuation.Order{Domain: "no name"}); operator.FailureOf(err).Kind != operator.Invalid {
+		t.Errorf("malformed failure domain: %v", err)
+	}
 	requireEqual("release", nil, client.Release(t.Context(), fingerprint), nil, nil)
 	if err := client.Release(t.Context(), fingerprint); operator.FailureOf(err).Kind != operator.NotFound {
 		t.Errorf("second release: %v", err)
@@ -314,7 +327,10 @@
 			t.Errorf("%s: %v", name, err)
 		}
 	}
-	if err := errors.Join(dryRun.RemoveMember(t.Context(), "control-1"), dryRun.Release(t.Context(), fingerprint), dryRun.AddMember(t.Context(), operator.NewMember{})); err != nil {
+	if err := dryRun.OrderFailureDomain(t.Context(), evacuation.Order{}); operator.FailureOf(err).Kind != operator.Invalid {
+		t.Errorf("failure domain without a name: %v", err)
+	}
+	if err := errors.Join(dryRun.OrderFailureDomain(t.Context(), evacuation.Order{Domain: "east", Out: true}), dryRun.RemoveMember(t.Context(), "control-1"), dryRun.Release(t.Context(), fingerprint), dryRun.AddMember(t.Context(), operator.NewMember{})); err != nil {
 		t.Error(err)
 	}
 	if calls := recorder.Calls(); len(calls) > 0 {
@@ -327,8 +343,9 @@
 	recorder.Publish(t.Context(), configuration.PublishRequest{ID: "a", Set: newSet()})
 	recorder.Rollback(t.Context(), operator.Rollback{ID: "b", Base: 1})
 	recorder.RemoveMember(t.Context(), "control-1")
+	recorder.OrderFailureDomain(t.Context(), evacuation.Order{Domain: "east", Out: true})
 	recorder.Current(t.Context())
-	want := []operator.Call{{"publish", "on revision 0"}, {"rollback", "to revision 0 on revision 1"}, {"remove-member", "control-1"}}
+	want := []operator.Call{{"publish", "on revision 0"}, {"rollback", "to revision 0 on revision 1"}, {"remove-member", "control-1"}, {"order-failure-domain", "east out of use: true"}}
 	if got := recorder.Calls(); !reflect.DeepEqual(got, want) {
 		t.Errorf("got %v, want %v", got, want)
 	}
--- a/internal/operator/recorder.go
+++ b/internal/operator/recorder.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"sapphirespread.example/configuration"
+	"sapphirespread.example/internal/membership/evacuation"
 )
 
 // A Recorder forwards all calls to an API and records those that request a change.
@@ -49,6 +50,12 @@
 	return r.API.Release(ctx, fingerprint)
 }
 
+// OrderFailureDomain records the order and forwards the request.
+func (r *Recorder) OrderFailureDomain(ctx context.Context, order evacuation.Order) error {
+	r.record("order-failure-domain", fmt.Sprintf("%s out of use: %t", order.Domain, order.Out))
+	return r.API.OrderFailureDomain(ctx, order)
+}
+
 // AddMember records the member and forwards the request.
 func (r *Recorder) AddMember(ctx context.Context, m NewMember) error {
 	r.record("add-member", m.Name+" at "+m.Address.String())
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -12,6 +12,7 @@
 	Term          uint64         `json:"term"`
 	Applied       uint64         `json:"applied"`
 	Revision      uint64         `json:"revision"`
+	OutOfUse      []string       `json:"out-of-use,omitempty"`
 	Daemons       []Daemon       `json:"daemons"`
 }
 
--- a/internal/operator/system.go
+++ b/internal/operator/system.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"sapphirespread.example/configuration"
+	"sapphirespread.example/internal/membership/evacuation"
 )
 
 // A System is the cluster state that operators read and change; errors other than Failure are reported as Internal.
@@ -19,6 +20,10 @@
 	Quarantine(ctx context.Context) ([]QuarantineEntry, error)
 	// Release fails with NotFound if the fingerprint is not quarantined.
 	Release(ctx context.Context, fingerprint string) error
+	FailureDomains(ctx context.Context) (FailureDomains, error)
+	// OrderFailureDomain succeeds again for an order that holds already. It fails with Unavailable if it is unknown whether
+	// the order was taken.
+	OrderFailureDomain(ctx context.Context, order evacuation.Order) error
 	Members(ctx context.Context) ([]Member, error)
 	AddMember(ctx context.Context, m NewMember) error
 	PromoteMember(ctx context.Context, name string) error
