--- a/internal/control/failuredomains.go
+++ b/internal/control/failuredomains.go
@@ -157,15 +157,14 @@
 	}
 	cluster, _ := s.control.store.Cluster()
 	var state evacuation.State
-	var age time.Duration
 	s.control.store.Read(func() {
 		state = s.control.state.evacuations.State(cluster)
 		if changedAt := s.control.state.evacuations.ChangedAt(); !changedAt.IsZero() {
-			age = max(now.Sub(changedAt), 0)
+			state.Age = max(now.Sub(changedAt), 0)
 		}
 	})
 	s.sent.hasOutOfUse, s.sent.outOfUse = true, state.Version
-	return s.write(&peerpb.ControlMessage{Body: &peerpb.ControlMessage_OutOfUse{OutOfUse: message.EncodeOutOfUse(state, age)}})
+	return s.write(&peerpb.ControlMessage{Body: &peerpb.ControlMessage_OutOfUse{OutOfUse: message.EncodeOutOfUse(state)}})
 }
 
 func (c *Control) outOfUseVersion() (version uint64) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -55,6 +55,7 @@
 	table            table
 	chooser          chooser
 	domains          *evacuation.View
+	domainGuard      *evacuation.Guard
 	holder           holder
 	rateLimiter      *rateLimiter
 	admitter         *admitter
@@ -112,7 +113,8 @@
 	d.backend = newBackend(d.incarnation, s.Timeouts.Announcement)
 	d.budgets = newBudgets(d.recorder)
 	d.initDecisions()
-	d.domains = evacuation.NewView(func(s evacuation.State) { d.chooser.SetOutOfUse(s.Domains) })
+	d.domains = evacuation.NewView(d.takeDomains)
+	d.domainGuard = evacuation.NewGuard(s.FailureDomain)
 	d.downstream = newDownstreamLevels(d.chooser)
 	d.throttle = newEntryThrottle(d.logger)
 	d.link = newLink(d)
--- a/internal/daemon/outofuse.go
+++ b/internal/daemon/outofuse.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
-	"time"
 
+	"sapphirespread.example/internal/host/boottime"
 	"sapphirespread.example/internal/membership/evacuation"
 	"sapphirespread.example/internal/message"
 	"sapphirespread.example/internal/peer/peerpb"
@@ -16,17 +16,21 @@
 type domainsReport struct {
 	Version  uint64   `json:"version"`
 	OutOfUse []string `json:"out-of-use"`
+	// Refuses reports whether calls to the backend server are refused since its failure domain is out of use.
+	Refuses bool `json:"refuses"`
 }
 
 func (d *Daemon) domainsReport() domainsReport {
 	state := d.domains.State()
-	return domainsReport{Version: state.Version, OutOfUse: append([]string{}, state.Domains...)}
+	return domainsReport{
+		Version: state.Version, OutOfUse: append([]string{}, state.Domains...), Refuses: d.domainGuard.Refuses(boottime.Now()),
+	}
 }
 
 // applyLeaderDomains takes the failure domains out of use that the leader sent.
 func (d *Daemon) applyLeaderDomains(encoded *peerpb.OutOfUse) {
 	if state := message.DecodeOutOfUse(encoded); d.domains.ApplyLeader(state) {
-		d.logDomains(state, sourceLeader, time.Duration(encoded.GetAgeUs())*time.Microsecond)
+		d.logDomains(state, sourceLeader)
 	}
 }
 
@@ -37,17 +41,17 @@
 		return
 	}
 	if state := message.DecodeOutOfUse(encoded); d.domains.ApplyPeer(state) {
-		d.logDomains(state, source, 0)
+		d.logDomains(state, source)
 	}
 }
 
-func (d *Daemon) logDomains(state evacuation.State, source string, age time.Duration) {
+func (d *Daemon) logDomains(state evacuation.State, source string) {
 	if state.Version == 0 {
 		return // no order was ever given
 	}
 	d.record("membership", fmt.Sprintf("failure domains out of use: %v", state.Domains))
 	d.logger.Info().Strs("out-of-use", state.Domains).Uint64("version", state.Version).Str("source", source).
-		Int64("age-ms", age.Milliseconds()).Msg("daemon: failure domains in force")
+		Int64("age-ms", state.Age.Milliseconds()).Msg("daemon: failure domains in force")
 }
 
 // newerDomains returns the failure domains out of use if their version is above known, and nil otherwise.
@@ -55,12 +59,21 @@
 	if d.domains.Version() <= known {
 		return nil
 	}
-	return message.EncodeOutOfUse(d.domains.State(), 0)
+	state := d.domains.State()
+	state.Age = 0 // it was that at the receipt of the state
+	return message.EncodeOutOfUse(state)
+}
+
+// takeDomains applies failure domains out of use that the view has taken.
+func (d *Daemon) takeDomains(state evacuation.State) {
+	d.chooser.SetOutOfUse(state.Domains)
+	d.domainGuard.Update(boottime.Now(), state)
 }
 
-// checkDomain refuses a call to the backend server of this daemon while its own failure domain is out of use.
+// checkDomain refuses a call to the backend server of this daemon if its own failure domain is out of use for longer than
+// callers need to learn of it.
 func (d *Daemon) checkDomain() *attemptError {
-	if !d.domains.Out(d.settings.FailureDomain) {
+	if !d.domainGuard.Refuses(boottime.Now()) {
 		return nil
 	}
 	d.counters.outOfUse.Add(1)
--- a/internal/membership/evacuation/state.go
+++ b/internal/membership/evacuation/state.go
@@ -1,6 +1,9 @@
 package evacuation
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // A State is the set of failure domains out of use after a number of changes. It is not modified once made.
 type State struct {
@@ -10,6 +13,8 @@
 	Version uint64
 	// Domains holds the names of the failure domains out of use, sorted.
 	Domains []string
+	// Age is the time since the last change when the state was received, 0 if unknown.
+	Age time.Duration
 }
 
 // Out reports whether a failure domain is out of use.
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -103,6 +103,7 @@
 	targets.Sent(at(2), "t0")
 	targets.Answered(at(3), "t0", target.Observation{Kind: target.OK, Latency: 1, Level: level})
 	targets.RecordHeartbeat(at(4), "t0")
+	targets.SetOutOfUse([]string{"east"})
 	steps := r.TargetSteps()
 	replayed := trace.ReplayTargets(start, "", "", roundTrip(t, steps))
 	replayed[0].At = steps[0].At
