--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -38,6 +38,7 @@
 	closed           chan struct{}
 	closeOnce        sync.Once
 	revision         atomic.Uint64
+	outOfUse         atomic.Uint64 // version that the daemon last confirmed
 	mu               sync.Mutex
 	calledServices   []string
 	servicesChanged  bool
@@ -52,6 +53,8 @@
 	membership       uint64
 	quarantine       uint64
 	hasTargets       bool
+	outOfUse         uint64
+	hasOutOfUse      bool
 	controlAddresses []string
 }
 
@@ -183,6 +186,7 @@
 	}
 	s.pendingHeartbeat = heartbeat
 	s.revision.Store(heartbeat.GetRevision())
+	s.outOfUse.Store(heartbeat.GetOutOfUseVersion())
 	s.mu.Unlock()
 	s.wake()
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"sapphirespread.example/internal/backend/load"
 	"sapphirespread.example/internal/daemon/dialect"
 	"sapphirespread.example/internal/host/boottime"
+	"sapphirespread.example/internal/membership/evacuation"
 	"sapphirespread.example/internal/membership/target"
 	"sapphirespread.example/internal/peer"
 	"sapphirespread.example/internal/settings"
@@ -54,6 +55,8 @@
 	recorder         *trace.Recorder
 	table            table
 	chooser          chooser
+	domains          *evacuation.View
+	domainGuard      *evacuation.Guard
 	holder           holder
 	rateLimiter      *rateLimiter
 	admitter         *admitter
@@ -116,6 +119,8 @@
 	d.budgets = newBudgets(d.recorder)
 	d.scarce = newScarceServices(d.logger, s.ScarceServices)
 	d.initDecisions()
+	d.domains = evacuation.NewView(d.takeDomains)
+	d.domainGuard = evacuation.NewGuard(s.FailureDomain)
 	d.downstream = newDownstreamLevels(d.chooser)
 	d.throttle = newEntryThrottle(d.logger)
 	d.link = newLink(d)
--- a/internal/daemon/report.go
+++ b/internal/daemon/report.go
@@ -22,8 +22,9 @@
 	pace            int           // see target.Target, 0 if unknown
 	handlingTime    time.Duration // from the receipt of the call until the report, zero if unknown
 	load            load.State
-	costs           []tree.Cost   // of the call at each service that it reached, if it was answered well
-	rooms           []room.Report // of the services below
+	costs           []tree.Cost      // of the call at each service that it reached, if it was answered well
+	rooms           []room.Report    // of the services below
+	outOfUse        *peerpb.OutOfUse // failure domains, nil if the sender of the call knows them
 }
 
 // maxReachedServices is the number of services that a report may name.
@@ -72,6 +73,7 @@
 		HandlingUs:      report.handlingTime.Microseconds(),
 		Load:            encodeLoad(report.load),
 		Reached:         encodeReached(report, now),
+		OutOfUse:        report.outOfUse,
 	}
 }
 
@@ -83,6 +85,7 @@
 		level:           decodeLevel(encoded.GetLevel(), now),
 		downstream:      decodeLevel(encoded.GetDeeper(), now),
 		pace:            message.DecodePace(encoded.GetPace()),
+		outOfUse:        encoded.GetOutOfUse(),
 		handlingTime:    time.Duration(encoded.GetHandlingUs()) * time.Microsecond,
 		load:            decodeLoad(encoded.GetLoad()),
 	}
--- a/internal/trace/targetstep.go
+++ b/internal/trace/targetstep.go
@@ -19,6 +19,7 @@
 	Sent            TargetCall = "sent"
 	Answered        TargetCall = "answered"
 	RecordHeartbeat TargetCall = "heard"
+	SetOutOfUse     TargetCall = "out-of-use"
 )
 
 // A TargetStep is one recorded call to a target.Table or a target.Chooser: its arguments and its choice or error.
@@ -37,6 +38,7 @@
 	Workspace   string             `json:"workspace,omitempty"`
 	Exclude     []string           `json:"exclude,omitempty"`
 	Name        string             `json:"name,omitempty"`
+	Domains     []string           `json:"domains,omitempty"`
 	Observation *TargetObservation `json:"observation,omitempty"`
 	Choice      target.Choice      `json:"-"`
 	Found, Shed bool               `json:"-"`
@@ -88,6 +90,8 @@
 		t.Answered(now, s.Name, s.Observation.observation(t.start))
 	case RecordHeartbeat:
 		t.RecordHeartbeat(now, s.Name)
+	case SetOutOfUse:
+		t.setOutOfUseAt(now, s.Domains)
 	}
 }
 
