--- a/internal/membership/target/pace.go
+++ b/internal/membership/target/pace.go
@@ -35,22 +35,39 @@
 	return p.units.Load() > 0
 }
 
-// holdsBack reports whether a call with the given random number leaves the target out.
-func (p *reportedPace) holdsBack(at int64, random uint64) bool {
+// limited reports whether the target asks for less than its usual calls.
+func (p *reportedPace) limited() bool {
+	units := p.units.Load()
+	return units > 0 && units < FullPace
+}
+
+// share returns the part of its usual calls that the target asks for, from 0 to 1.
+func (p *reportedPace) share(at int64) float64 {
 	units := p.units.Load()
 	if units <= 0 || units >= FullPace {
-		return false
+		return 1
 	}
 	reportedAt := p.reportedAt.Load()
 	if reportedAt == 0 {
 		p.reportedAt.CompareAndSwap(0, at)
 		reportedAt = at
 	}
-	share := float64(units) / FullPace
-	if age := at - reportedAt; age > 0 {
-		share *= 1 / decayFactor(age-age%int64(paceDoubling), paceDoubling)
+	doublings := max(at-reportedAt, 0) / int64(paceDoubling)
+	return min(1, float64(units)/FullPace*float64(int64(1)<<min(doublings, 6)))
+}
+
+// holdBack leaves paced targets out of the choice by chance, each in proportion to the largest share that an able target asks
+// for. One that sheds the request counts among them: what it sheds isn't for the others to take beyond their part.
+func (s *selection) holdBack() {
+	for i, m := range s.members {
+		t := s.tierAt(i)
+		if t >= tierWarming || float64(mix(s.random, i)>>11)/(1<<53)*s.maxPace < m.pace.share(s.at) {
+			continue
+		}
+		s.counts[t]--
+		s.counts[tierWarming]++
+		s.setTier(i, tierWarming)
 	}
-	return float64(random>>11)/(1<<53) >= share
 }
 
 // mix returns a random number that differs for each member of a choice.
--- a/internal/membership/target/pace_test.go
+++ b/internal/membership/target/pace_test.go
@@ -79,13 +79,17 @@
 	}
 }
 
-// TestServiceOfPacedTargetsIsStillCalled checks that a service whose targets have all started is called.
+// TestServiceOfPacedTargetsIsStillCalled checks that a service whose targets have all started is called, also while one of them
+// sheds the request.
 func TestServiceOfPacedTargetsIsStillCalled(t *testing.T) {
 	paces := make([]int, pacedTargets)
 	for i := range paces {
 		paces[i] = 1
 	}
 	c, random := newPacedCaller(t, paces...), rand.New(rand.NewPCG(1, 2))
+	shedding := priority.Level{Share: 0.5, ValidUntil: start.Add(time.Second)}
+	c.chooser.Sent(start, "t-9")
+	c.chooser.Answered(start, "t-9", target.Observation{Kind: target.Refused, Level: shedding, Pace: 1})
 	for i := range 100 {
 		c.call(t, start.Add(time.Duration(i)*time.Millisecond), random.Uint64(), 1)
 	}
@@ -134,3 +138,24 @@
 		}
 	}
 }
+
+// TestShedCallsDontMoveToAPacedTarget checks that calls which all other targets shed don't go to one that has started, beyond
+// its part of them.
+func TestShedCallsDontMoveToAPacedTarget(t *testing.T) {
+	const pace = 4
+	c, random := newPacedCaller(t, pace), rand.New(rand.NewPCG(1, 2))
+	shedding := priority.Level{Share: 1, ValidUntil: start.Add(time.Second)}
+	for i := 1; i < pacedTargets; i++ {
+		c.chooser.Sent(start, fmt.Sprintf("t-%d", i))
+		c.chooser.Answered(start, fmt.Sprintf("t-%d", i), target.Observation{Kind: target.Refused, Level: shedding})
+	}
+	taken := 0
+	for range 1000 {
+		if _, ok, _ := c.chooser.Choose(start, random.Uint64(), "s", priority.Origin{RootHash: random.Uint64()}, nil); ok {
+			taken++
+		}
+	}
+	if want := 1000.0 * pace / target.FullPace; float64(taken) > 1.5*want || float64(taken) < want/2 {
+		t.Errorf("%d of 1000 calls that the others shed went to a target at %d of %d, want about %.0f", taken, pace, target.FullPace, want)
+	}
+}
--- a/internal/membership/target/selection.go
+++ b/internal/membership/target/selection.go
@@ -42,14 +42,16 @@
 	counts        [tierCount]int
 	shedCount     int
 	random        uint64
+	paced         bool    // a target asks for less than its usual calls
+	maxPace       float64 // largest share of its usual calls that an able target asks for, see reportedPace
 	minShedShare  float64 // lowest share of requests of this origin that any target sheds
 }
 
 func (s *selection) classify(exclude []string) {
 	for i, m := range s.members {
 		t := s.tierOf(m, exclude)
-		if t < tierWarming && m.pace.holdsBack(s.at, mix(s.random, i)) {
-			t = tierWarming
+		if t < tierWarming {
+			s.maxPace = max(s.maxPace, m.pace.share(s.at))
 		}
 		s.counts[t]++
 		if i < inlineMembers {
@@ -58,6 +60,9 @@
 			s.overflowTiers = append(s.overflowTiers, t)
 		}
 	}
+	if s.paced {
+		s.holdBack()
+	}
 	s.counts[tierServing] += s.counts[tierOwnDomain] + s.counts[tierOwnDomainPressed]
 }
 
@@ -66,10 +71,12 @@
 	if m.drained.Load() || excluded(target.Name, exclude) || s.chooser.isSilent(m, s.at) {
 		return tierExcluded
 	}
+	s.paced = s.paced || m.pace.limited()
 	share := m.shedShare(s.now, s.origin)
 	s.minShedShare = min(s.minShedShare, share)
 	if s.origin.ShedBy(share) {
 		s.shedCount++
+		s.maxPace = max(s.maxPace, m.pace.share(s.at))
 		return tierExcluded
 	}
 	switch {
@@ -86,6 +93,14 @@
 	}
 }
 
+func (s *selection) setTier(i int, t tier) {
+	if i < inlineMembers {
+		s.inlineTiers[i] = t
+	} else {
+		s.overflowTiers[i-inlineMembers] = t
+	}
+}
+
 func (s *selection) tierAt(i int) tier {
 	if i < inlineMembers {
 		return s.inlineTiers[i]
