--- a/internal/routing/locality/sample.go
+++ b/internal/routing/locality/sample.go
@@ -6,7 +6,7 @@
 type Sample struct {
 	// Near and Far are the mean expected times to completion, or 0 if unknown.
 	Near, Far time.Duration
-	// Idle is the mean time to completion of an idle near target.
+	// Idle is the mean time to completion at a near target without a wait.
 	Idle time.Duration
 	// NearRefusing and FarRefusing are the shares of the targets that refuse calls, from 0 to 1.
 	NearRefusing, FarRefusing float64
@@ -16,10 +16,18 @@
 	Price float64
 }
 
-// excess returns how far the near targets lack room, from -1 to 1. They have room while a call is expected to take no
-// more than its part of the objective, or no longer than a far one at its price.
+// allowed returns the expected time to completion up to which near targets have room: a part of the objective, or the
+// time of a far call at its price. Slow targets have room until their slots are taken, since a call that leaves them makes
+// the others no faster.
+func (s Sample) allowed() float64 {
+	objective := float64(s.Objective)
+	slow := min(float64(s.Idle)*takenSlots, objective*slowRoomShare)
+	return max(objective*roomShare, slow, float64(s.Far)*max(s.Price, 1))
+}
+
+// excess returns how far the near targets lack room, from -1 to 1.
 func (s Sample) excess() float64 {
-	allowed := max(float64(s.Objective)*roomShare, float64(s.Far)*max(s.Price, 1))
+	allowed := s.allowed()
 	excess := -1.0
 	if allowed > 0 {
 		excess = float64(s.Near)/allowed - 1
--- a/internal/routing/locality/spill.go
+++ b/internal/routing/locality/spill.go
@@ -11,6 +11,10 @@
 	Interval = 100 * time.Millisecond
 	// roomShare of the latency objective may be used near, which leaves the rest to calls further up and to surges.
 	roomShare = 0.25
+	// slowRoomShare of the latency objective may be used by targets that are slow without a wait.
+	slowRoomShare = 0.5
+	// takenSlots is the expected time to completion at a target whose slots are just taken, in times without a wait.
+	takenSlots = 1.5
 	// refusingSlack is the difference between the shares of refusing targets that is not yet a lack of room.
 	refusingSlack = 0.1
 	// riseRate is the change of the share in an interval in which the near targets lack all room.
--- a/internal/routing/locality/spill_test.go
+++ b/internal/routing/locality/spill_test.go
@@ -20,7 +20,7 @@
 	return changes
 }
 
-// TestCallsStayWhileNearHasRoom checks that no call leaves while near targets answer within their part of the objective,
+// TestCallsStayWhileNearHasRoom checks that no call leaves while near targets answer within a quarter of the objective,
 // or no later than far ones at their price, and refuse no more than those.
 func TestCallsStayWhileNearHasRoom(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -39,6 +39,22 @@
 	})
 }
 
+// TestSlowNearTargetsKeepTheirCalls checks that calls stay at targets that are slower than far ones but not busy, while
+// they are answered within half of the objective, and leave if their slots are taken.
+func TestSlowNearTargetsKeepTheirCalls(t *testing.T) {
+	var s locality.Spill
+	sample := locality.Sample{Near: 60 * time.Millisecond, Idle: 58 * time.Millisecond, Far: 30 * time.Millisecond, Objective: 200 * time.Millisecond, Price: 1.3}
+	run(&s, 0, 10*time.Second, func(float64) locality.Sample { return sample })
+	if s.Share() != 0 {
+		t.Errorf("%.2f of the calls leave targets that have room", s.Share())
+	}
+	sample.Near = 2 * sample.Idle
+	run(&s, 10*time.Second, 10*time.Second, func(float64) locality.Sample { return sample })
+	if s.Share() != 1 {
+		t.Errorf("%.2f of the calls leave targets without room, want all", s.Share())
+	}
+}
+
 // TestSurgeSpillsWhatIsNeededAndReturns plays a surge of a given size at near targets whose latency grows with the calls
 // that stay beyond their capacity. The share must settle where they have room, without swinging, and end after it.
 func TestSurgeSpillsWhatIsNeededAndReturns(t *testing.T) {
