--- a/internal/admission/room/board.go
+++ b/internal/admission/room/board.go
@@ -1,6 +1,7 @@
 package room
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -21,8 +22,9 @@
 
 // service holds the unexpired reports of one service and the middle one of them by strictness.
 type service struct {
-	reports []Report
-	cut     priority.Level
+	reports    []Report
+	cut        priority.Level
+	turnedAway float64 // of the middle report by this share
 }
 
 // NewBoard returns a Board without reports, by which all services have room.
@@ -56,6 +58,16 @@
 	return &noOpinion
 }
 
+// TurnedAway returns the share of calls that the backend servers of a service turn away according to the middle report of
+// its targets, or 0 if none counts at now.
+func (b *Board) TurnedAway(now time.Time, name string) float64 {
+	s := b.services[name]
+	if s == nil || !now.Before(s.cut.ValidUntil) {
+		return 0
+	}
+	return s.turnedAway
+}
+
 // noOpinion is the level of a service without reports.
 var noOpinion priority.Level
 
@@ -108,8 +120,11 @@
 	s.chooseMiddle(now)
 }
 
-// chooseMiddle sets the cut to the middle report by strictness. It counts until the last of the reports expires.
+// chooseMiddle sets the cut and the share turned away to the middle report by each. They count until the last of the
+// reports expires.
 func (s *service) chooseMiddle(now time.Time) {
+	slices.SortFunc(s.reports, func(a, b Report) int { return cmp.Compare(a.TurnedAway, b.TurnedAway) })
+	s.turnedAway = s.reports[(len(s.reports)-1)/2].TurnedAway
 	slices.SortFunc(s.reports, func(a, b Report) int { return priority.CompareStrictness(now, a.Cut, b.Cut) })
 	validUntil := time.Time{}
 	for _, r := range s.reports {
--- a/internal/admission/room/report.go
+++ b/internal/admission/room/report.go
@@ -13,10 +13,12 @@
 const Validity = time.Second
 
 // A Report is what one target of a service has room for: Cut sheds what it has no room for, until Cut.ValidUntil.
+// TurnedAway is the share of the calls that its backend server turns away all the same.
 type Report struct {
-	Service string
-	Target  TargetHash
-	Cut     priority.Level
+	Service    string
+	Target     TargetHash
+	Cut        priority.Level
+	TurnedAway float64
 }
 
 // A TargetHash identifies a target in messages, where its name would take too much space.
@@ -27,12 +29,13 @@
 	return TargetHash(xxhash.Sum64String(name))
 }
 
-// NewReport returns the report of a target that made it now and whose admission sheds by level, which may be zero.
-func NewReport(now time.Time, service, target string, level priority.Level) Report {
+// NewReport returns the report of a target that made it now, whose admission sheds by level, which may be zero, and whose
+// backend server turns the given share away.
+func NewReport(now time.Time, service, target string, level priority.Level, turnedAway float64) Report {
 	validUntil := now.Add(Validity)
 	if level.ValidUntil.IsZero() {
 		level = priority.AdmitAll()
 	}
 	level.ValidUntil = validUntil
-	return Report{Service: service, Target: HashTarget(target), Cut: level}
+	return Report{Service: service, Target: HashTarget(target), Cut: level, TurnedAway: turnedAway}
 }
--- a/internal/admission/tree/gate.go
+++ b/internal/admission/tree/gate.go
@@ -1,6 +1,7 @@
 package tree
 
 import (
+	"math"
 	"time"
 
 	"sapphirespread.example/internal/admission/room"
@@ -11,6 +12,13 @@
 // events few where the demand is about what the service has room for.
 const holdEndDelay = 5 * time.Second
 
+// maxHolds is the number of services for which refusals are counted.
+const maxHolds = 128
+
+// attemptsPerSuccess is how many trees may begin for one that is expected to be answered whole, as many as the throttle
+// of an entry lets through.
+const attemptsPerSuccess = 8
+
 // A Gate decides which root requests begin. It refuses one that a service below has no room for, before its first call,
 // so that nothing is spent on it. Roots of an unknown callee, and those whose services have sent no report lately, begin.
 // The caller must serialize all calls with one lock.
@@ -38,11 +46,15 @@
 	Refused  uint64          // for the service, since the start
 }
 
-// A Decision is whether a root request may begin. Service is the one without room for it, empty if it may begin. Shed is
-// the share of the requests with its priority and workspace that are held back.
+// A Decision is whether a root request is refused before it begins. Shed is the share of the requests with its priority
+// and workspace that are held back, and Scarcest what it would cost at the service that holds back the most, if any does.
+// Hopeless reports that the services have room, but their backend servers turn so many calls away that hardly a tree is
+// answered whole.
 type Decision struct {
-	Service string
-	Shed    float64
+	Refused  bool
+	Shed     float64
+	Scarcest Cost
+	Hopeless bool
 }
 
 // Held is what was refused for one service since the start.
@@ -72,22 +84,42 @@
 // Decide decides whether a root request to callee may begin.
 func (g *Gate) Decide(now time.Time, callee priority.Callee, origin priority.Origin) Decision {
 	var decision Decision
+	whole, worst, mostTurnedAway := 1.0, Cost{}, 0.0
 	for _, cost := range g.model.Expected(callee) {
-		share := g.board.Cut(cost.Service).ShareAt(now, origin)
-		decision.Shed = max(decision.Shed, share)
-		if decision.Service == "" && origin.ShedBy(share) {
-			decision.Service = cost.Service
-			g.refused(now, callee, cost)
-		} else if h := g.holds[cost.Service]; h != nil && h.active && now.Sub(h.last) > holdEndDelay {
-			h.active = false
-			g.events(Event{Service: cost.Service, Callee: callee, Expected: cost, Refused: h.refused})
+		if turnedAway := g.board.TurnedAway(now, cost.Service); turnedAway > 0 {
+			whole *= math.Pow(1-turnedAway, cost.Calls)
+			if turnedAway > mostTurnedAway {
+				worst, mostTurnedAway = cost, turnedAway
+			}
+		}
+		if share := g.board.Cut(cost.Service).ShareAt(now, origin); share > decision.Shed {
+			decision.Shed, decision.Scarcest = share, cost
 		}
+		g.endHold(now, callee, cost)
+	}
+	if share := 1 - whole*attemptsPerSuccess; share > decision.Shed {
+		decision.Shed, decision.Scarcest, decision.Hopeless = share, worst, true
+	}
+	// The hash is the same for all services, so the largest share decides for all of them.
+	if decision.Refused = origin.ShedBy(decision.Shed); decision.Refused {
+		g.refused(now, callee, decision.Scarcest)
 	}
 	return decision
 }
 
+// endHold ends the hold of a service for which nothing was refused lately.
+func (g *Gate) endHold(now time.Time, callee priority.Callee, cost Cost) {
+	if h := g.holds[cost.Service]; h != nil && h.active && now.Sub(h.last) > holdEndDelay {
+		h.active = false
+		g.events(Event{Service: cost.Service, Callee: callee, Expected: cost, Refused: h.refused})
+	}
+}
+
 func (g *Gate) refused(now time.Time, callee priority.Callee, cost Cost) {
 	h := g.holds[cost.Service]
+	if h == nil && len(g.holds) >= maxHolds {
+		return
+	}
 	if h == nil {
 		h = &hold{}
 		g.holds[cost.Service] = h
--- a/internal/admission/tree/gate_test.go
+++ b/internal/admission/tree/gate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -27,7 +28,7 @@
 
 // cutting returns the report of a target that sheds all requests less important than rank.
 func cutting(now time.Time, target string, rank int) room.Report {
-	return room.NewReport(now, scarce, target, priority.Level{Priority: rank, ValidUntil: now.Add(time.Millisecond)})
+	return room.NewReport(now, scarce, target, priority.Level{Priority: rank, ValidUntil: now.Add(time.Millisecond)}, 0)
 }
 
 func origin(rank int) priority.Origin {
@@ -37,7 +38,7 @@
 // TestWithoutNewsRootsBegin checks the stated default of each state in which an entry knows nothing that counts.
 func TestWithoutNewsRootsBegin(t *testing.T) {
 	refused := func(g *tree.Gate, after time.Duration) bool {
-		return g.Decide(start.Add(after), join, origin(5)).Service != ""
+		return g.Decide(start.Add(after), join, origin(5)).Refused
 	}
 	short := learnt(scarce)
 	short.Record(start, cutting(start, "one", 3))
@@ -61,15 +62,15 @@
 		t.Error("an old report counts")
 	}
 	late := learnt(scarce)
-	late.Record(start, room.NewReport(start, scarce, "one", priority.Level{}))
+	late.Record(start, room.NewReport(start, scarce, "one", priority.Level{}, 0))
 	late.Record(start, cutting(start.Add(-room.Validity/2), "one", 3))
 	if refused(late, 0) {
 		t.Error("a report that arrived after a newer one of its target counts")
 	}
 	one := learnt(scarce)
 	one.Record(start, cutting(start, "hot", 3))
-	one.Record(start, room.NewReport(start, scarce, "calm", priority.Level{}))
-	one.Record(start, room.NewReport(start, scarce, "calmer", priority.Level{}))
+	one.Record(start, room.NewReport(start, scarce, "calm", priority.Level{}, 0))
+	one.Record(start, room.NewReport(start, scarce, "calmer", priority.Level{}, 0))
 	if refused(one, 0) {
 		t.Error("one hot target of three holds back roots")
 	}
@@ -93,7 +94,7 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
 			level := priority.Level{Priority: rapid.IntRange(0, 6).Draw(t, "cut"), Share: rapid.Float64Range(0, 1).Draw(t, "share"), ValidUntil: now.Add(1)}
 			service := rapid.SampledFrom([]string{"visits", "media"}).Draw(t, "service")
-			g.Record(now, room.NewReport(now, service, fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "target")), level))
+			g.Record(now, room.NewReport(now, service, fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "target")), level, 0))
 			hash := rapid.Uint64().Draw(t, "hash")
 			important, less := rapid.IntRange(0, 6).Draw(t, "important"), rapid.IntRange(0, 6).Draw(t, "less")
 			if less <= important {
@@ -101,13 +102,41 @@
 			}
 			first := g.Decide(now, join, priority.Origin{Priority: important, Workspace: "a", RootHash: hash})
 			second := g.Decide(now, join, priority.Origin{Priority: less, Workspace: "b", RootHash: hash / 2})
-			if first.Service != "" && second.Service == "" {
-				t.Fatalf("rank %d is refused for %s while rank %d begins", important, first.Service, less)
+			if first.Refused && !second.Refused {
+				t.Fatalf("rank %d is refused for %s while rank %d begins", important, first.Scarcest.Service, less)
 			}
 		}
 	})
 }
 
+// TestTreesThatHardlyEverSucceedDontBegin plays backend servers that turn calls away though they have room: a tree of eight
+// calls is held back where one call is worth a try, and begins again once they turn away less or their reports have run out.
+func TestTreesThatHardlyEverSucceedDontBegin(t *testing.T) {
+	single := priority.Callee{Service: scarce, Route: "visit-history"}
+	for _, c := range []struct{ turnedAway, tree, single float64 }{{0, 1, 1}, {0.05, 1, 1}, {0.3, 0.46, 1}, {0.55, 0.01, 1}, {1, 0, 0}} {
+		g := learnt(scarce)
+		g.Observe(single, []tree.Cost{{Service: scarce, Calls: 1, SlotTime: time.Second / 30}})
+		g.Record(start, room.NewReport(start, scarce, "one", priority.Level{}, c.turnedAway))
+		begun := func(callee priority.Callee, at time.Time) (share float64) {
+			for i := range 1000 {
+				if !g.Decide(at, callee, priority.Origin{RootHash: uint64(i) * 0x9e3779b97f4a7c15}).Refused {
+					share += 0.001
+				}
+			}
+			return share
+		}
+		if got := begun(join, start); math.Abs(got-c.tree) > 0.05 {
+			t.Errorf("%.2f are turned away: %.2f of the trees began, want %.2f", c.turnedAway, got, c.tree)
+		}
+		if got := begun(single, start); math.Abs(got-c.single) > 0.05 {
+			t.Errorf("%.2f are turned away: %.2f of the single calls began, want %.2f", c.turnedAway, got, c.single)
+		}
+		if got := begun(join, start.Add(room.Validity)); got < 0.999 {
+			t.Errorf("%.2f of the trees began after the last report", got)
+		}
+	}
+}
+
 // TestHoldsAreToldOnce checks that a service that is short for long causes one event at its beginning and one at its end.
 func TestHoldsAreToldOnce(t *testing.T) {
 	var events []tree.Event
@@ -119,7 +148,7 @@
 		if ms < 10_000 && ms%2_000 < 1_000 {
 			level = priority.Level{Priority: 3, ValidUntil: now.Add(1)}
 		}
-		g.Record(now, room.NewReport(now, scarce, "one", level))
+		g.Record(now, room.NewReport(now, scarce, "one", level, 0))
 		g.Decide(now, join, origin(5))
 	}
 	if len(events) != 2 || !events[0].Holding || events[1].Holding || g.Held()[scarce].Requests != events[1].Refused {
@@ -140,7 +169,7 @@
 		level.Workspaces = append(level.Workspaces, priority.WorkspaceShare{Workspace: priority.WorkspaceHash(i << 28), Share: 0.5})
 	}
 	for i := range 8 {
-		g.Record(start, room.NewReport(start, "visits", fmt.Sprint(i), level))
+		g.Record(start, room.NewReport(start, "visits", fmt.Sprint(i), level, 0))
 	}
 	from := origin(5)
 	b.ReportAllocs()
--- a/internal/admission/tree/surge_test.go
+++ b/internal/admission/tree/surge_test.go
@@ -187,7 +187,7 @@
 	if !s.open {
 		decision := r.gate.Decide(s.at(), kind.callee, r.origin)
 		r.share = decision.Shed
-		if decision.Service != "" {
+		if decision.Refused {
 			s.checkOrder(r)
 			r.count(&r.tally.held)
 			return
@@ -202,7 +202,7 @@
 		lower := r.origin
 		lower.Priority = priority.Rank(s.kinds[i].level, s.kinds[i].level)
 		if lower.Priority > r.origin.Priority && len(r.gate.Reports(s.at(), s.kinds[i].callee)) > 0 &&
-			r.gate.Decide(s.at(), s.kinds[i].callee, lower).Service == "" {
+			!r.gate.Decide(s.at(), s.kinds[i].callee, lower).Refused {
 			s.breaches++
 		}
 	}
@@ -265,7 +265,7 @@
 
 // ended takes the end of one call of r at target t, with its report.
 func (s *studio) ended(r *root, t int, well bool) {
-	report := room.NewReport(s.at(), scarce, fmt.Sprint(t), s.targets[t].Level(s.at()))
+	report := room.NewReport(s.at(), scarce, fmt.Sprint(t), s.targets[t].Level(s.at()), 0)
 	r.failed = r.failed || !well
 	r.left--
 	s.after(oneWay, func() {
--- a/internal/daemon/attempterror.go
+++ b/internal/daemon/attempterror.go
@@ -12,6 +12,7 @@
 	notRun        bool // the request is certain not to have run
 	detail        string
 	retryAfter    time.Duration
+	spread        bool   // retryAfter differs between callers already
 	crashedTarget string // name of the target that crashed while the request ran, or empty
 }
 
--- a/internal/daemon/local.go
+++ b/internal/daemon/local.go
@@ -278,6 +278,7 @@
 // handleResponse returns the answer if the dialect can pass it on, and otherwise the refusal for the dialect's verdict.
 func (r *localRun) handleResponse(ctx context.Context, response *http.Response, facts dialect.Facts) (*answer, *attemptError) {
 	verdict := r.daemon.dialect.ClassifyAnswer(response.StatusCode, response.Header, facts)
+	r.daemon.scarce.recordTurnedAway(verdict == dialect.NoCapacity)
 	if verdict == dialect.Valid {
 		return r.answer(ctx, response)
 	}
@@ -334,12 +335,13 @@
 // reportOf returns this target's report at the end of c, with the unused allowance, which it takes from c.
 func (d *Daemon) reportOf(c *call, crashedTarget string) callReport {
 	now := time.Now()
-	return callReport{
+	report := callReport{
 		unusedAllowance: c.allowance.Take(c.allowance.Left()),
 		level:           d.admitter.level(now),
 		downstream:      d.downstream.currentLevel(now, c.route),
 		draining:        d.draining(),
 		crashedTarget:   crashedTarget,
-		rooms:           d.scarce.rooms(now, c.callee()),
 	}
+	d.scarce.addRooms(now, c.callee(), &report)
+	return report
 }
--- a/internal/daemon/owndialect.go
+++ b/internal/daemon/owndialect.go
@@ -8,7 +8,6 @@
 
 	"sapphirespread.example/internal/daemon/dialect"
 	"sapphirespread.example/refusal"
-	"sapphirespread.example/retry"
 )
 
 // ownDialect is the default dialect: the project's own headers, and refusals with a JSON body.
@@ -74,15 +73,14 @@
 	header.Set(headerRefusal, string(refused.Kind))
 	header.Set(headerRunState, string(body.RunState))
 	if answer.Retryable {
-		setRetryAfter(header, refused.RetryAfter)
+		setRetryAfter(header, refused.JitteredRetryAfter())
 	}
 	w.WriteHeader(answer.Status)
 	_ = json.NewEncoder(w).Encode(body)
 }
 
-// setRetryAfter sets the retry headers to base with jitter, in whole seconds and in milliseconds.
-func setRetryAfter(header http.Header, base time.Duration) {
-	after := retry.JitterRetryAfter(newRandom(), base)
+// setRetryAfter sets the retry headers to after, in whole seconds and in milliseconds.
+func setRetryAfter(header http.Header, after time.Duration) {
 	seconds := max(int64((after+time.Second-1)/time.Second), 1)
 	header.Set("Retry-After", strconv.FormatInt(seconds, 10))
 	header.Set(headerRetryAfterMs, strconv.FormatInt(after.Milliseconds(), 10))
--- a/internal/daemon/report.go
+++ b/internal/daemon/report.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -20,6 +21,7 @@
 	handlingTime    time.Duration // from the receipt of the call until the report, zero if unknown
 	costs           []tree.Cost   // of the call at each service that it reached, if it was answered well
 	rooms           []room.Report // of the services below
+	turnedAway      float64       // share of the calls that the target's backend server turned away lately
 }
 
 // maxReachedServices is the number of services that a report may name.
@@ -40,10 +42,19 @@
 			reached = append(reached, &peerpb.ReachedService{Service: r.Service})
 		}
 		reached[i].Target, reached[i].Level = uint32(r.Target), encodeLevel(r.Cut, now)
+		reached[i].TurnedAway = encodeShare(r.TurnedAway)
 	}
 	return reached[:min(len(reached), maxReachedServices)]
 }
 
+func encodeShare(share float64) uint32 {
+	return uint32(math.Round(min(max(share, 0), 1) * workspaceShareScale))
+}
+
+func decodeShare(encoded uint32) float64 {
+	return min(float64(encoded)/workspaceShareScale, 1)
+}
+
 // decodeReached adds the costs and the rooms that a peer reported to report.
 func decodeReached(reached []*peerpb.ReachedService, now time.Time, report *callReport) {
 	for _, s := range reached[:min(len(reached), maxReachedServices)] {
@@ -52,7 +63,7 @@
 			report.costs = append(report.costs, tree.Cost{Service: s.GetService(), Calls: float64(s.GetCalls()), SlotTime: slotTime})
 		}
 		if level := decodeLevel(s.GetLevel(), now); !level.ValidUntil.IsZero() {
-			report.rooms = append(report.rooms, room.Report{Service: s.GetService(), Target: room.TargetHash(s.GetTarget()), Cut: level})
+			report.rooms = append(report.rooms, room.Report{Service: s.GetService(), Target: room.TargetHash(s.GetTarget()), Cut: level, TurnedAway: decodeShare(s.GetTurnedAway())})
 		}
 	}
 }
@@ -66,6 +77,7 @@
 		Deeper:          encodeLevel(report.downstream, now),
 		HandlingUs:      report.handlingTime.Microseconds(),
 		Reached:         encodeReached(report, now),
+		TurnedAway:      encodeShare(report.turnedAway),
 	}
 }
 
@@ -78,6 +90,7 @@
 		downstream:      decodeLevel(encoded.GetDeeper(), now),
 		handlingTime:    time.Duration(encoded.GetHandlingUs()) * time.Microsecond,
 	}
+	report.turnedAway = decodeShare(encoded.GetTurnedAway())
 	decodeReached(encoded.GetReached(), now, &report)
 	return report
 }
--- a/internal/daemon/respond.go
+++ b/internal/daemon/respond.go
@@ -21,7 +21,7 @@
 	d.counters.countRefusal(refused.kind)
 	d.logRefused(c, requestID, refused)
 	d.dialect.Refuse(w, dialect.Refusal{
-		Kind: refused.kind, NotRun: refused.notRun, RetryAfter: refused.retryAfter, RequestID: requestID,
+		Kind: refused.kind, NotRun: refused.notRun, RetryAfter: refused.retryAfter, Spread: refused.spread, RequestID: requestID,
 	})
 }
 
--- a/internal/daemon/scarceservices.go
+++ b/internal/daemon/scarceservices.go
@@ -1,11 +1,13 @@
 package daemon
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"sapphirespread.example/internal/admission/returning"
 	"sapphirespread.example/internal/admission/room"
 	"sapphirespread.example/internal/admission/tree"
 	"sapphirespread.example/internal/membership/target"
@@ -19,10 +21,14 @@
 	on   bool
 	mu   sync.Mutex
 	gate *tree.Gate
+	// lines tells refused callers when to return.
+	lines *returning.Lines
+	// turnedAway is of the own backend server.
+	turnedAway room.TurnedAway
 }
 
 func newScarceServices(logger zerolog.Logger, on bool) *scarceServices {
-	return &scarceServices{on: on, gate: tree.NewGate(tree.WithEvents(func(e tree.Event) { logHold(logger, e) }))}
+	return &scarceServices{on: on, lines: returning.NewLines(), gate: tree.NewGate(tree.WithEvents(func(e tree.Event) { logHold(logger, e) }))}
 }
 
 // logHold logs that requests begin or cease to be held back for a service.
@@ -52,9 +58,21 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	decision := s.gate.Decide(time.Now(), c.callee(), c.origin())
-	if decision.Service != "" {
-		return refuse(refusal.Overloaded, "no room below in "+decision.Service)
+	now := time.Now()
+	decision := s.gate.Decide(now, c.callee(), c.origin())
+	line := returning.Key{Service: decision.Scarcest.Service, Rank: c.priority}
+	if decision.Refused {
+		refused := refuse(refusal.Overloaded, "no room below in "+line.Service)
+		if decision.Hopeless {
+			refused.detail = "nearly all calls below are turned away by " + line.Service
+		}
+		if wait := s.lines.RetryAfter(now, line, decision.Scarcest.SlotTime, c.objective, rand.Float64()); wait > 0 {
+			refused.retryAfter, refused.spread = wait, true
+		}
+		return refused
+	}
+	if decision.Shed > 0 {
+		s.lines.Began(now, line, decision.Scarcest.SlotTime)
 	}
 	c.shedShare = max(c.shedShare, decision.Shed)
 	return nil
@@ -76,7 +94,7 @@
 	if succeeded && !a.daemon.isOwn(a.target) {
 		s.gate.Observe(c.callee(), a.report.costs)
 	}
-	s.gate.Record(now, room.NewReport(now, c.service, a.target.Name, a.report.level))
+	s.gate.Record(now, room.NewReport(now, c.service, a.target.Name, a.report.level, a.report.turnedAway))
 	for _, r := range a.report.rooms {
 		s.gate.Record(now, r)
 	}
@@ -94,14 +112,26 @@
 	return costs
 }
 
-// rooms returns what the services below that calls to callee need have room for.
-func (s *scarceServices) rooms(now time.Time, callee priority.Callee) []room.Report {
+// recordTurnedAway records whether the own backend server turned a call away.
+func (s *scarceServices) recordTurnedAway(turnedAway bool) {
 	if !s.on {
-		return nil
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.turnedAway.Observe(time.Now(), turnedAway)
+}
+
+// addRooms adds to a report of the own target what its backend server turns away, and what the services below that calls
+// to callee need have room for.
+func (s *scarceServices) addRooms(now time.Time, callee priority.Callee, report *callReport) {
+	if !s.on {
+		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.gate.Reports(now, callee)
+	report.turnedAway = s.turnedAway.Share(now)
+	report.rooms = s.gate.Reports(now, callee)
 }
 
 // held returns the requests that were held back, by service.
