--- a/internal/daemon/local.go
+++ b/internal/daemon/local.go
@@ -292,6 +292,7 @@
 func (r *localRun) handleResponse(ctx context.Context, response *http.Response, facts dialect.Facts) (*answer, *attemptError) {
 	verdict := r.daemon.dialect.ClassifyAnswer(response.StatusCode, response.Header, facts)
 	r.observeLoad(time.Now(), response, verdict)
+	r.daemon.scarce.recordTurnedAway(verdict == dialect.NoCapacity)
 	if verdict == dialect.Valid {
 		return r.answer(ctx, response)
 	}
@@ -370,7 +371,7 @@
 // reportOf returns this target's report at the end of c, with the unused allowance, which it takes from c.
 func (d *Daemon) reportOf(c *call, crashedTarget string) callReport {
 	now := time.Now()
-	return callReport{
+	report := callReport{
 		unusedAllowance: c.allowance.Take(c.allowance.Left()),
 		level:           d.admitter.level(now),
 		downstream:      d.downstream.currentLevel(now, c.route),
@@ -378,6 +379,7 @@
 		pace:            d.pace.share(),
 		crashedTarget:   crashedTarget,
 		load:            d.serverLoad(now),
-		rooms:           d.scarce.rooms(now, c.callee()),
 	}
+	d.scarce.addRooms(now, c.callee(), &report)
+	return report
 }
