--- a/internal/caller/pipeline/body.go
+++ b/internal/caller/pipeline/body.go
@@ -50,6 +50,7 @@
 			return 0, err
 		}
 	}
+	b.exchange.limitWait()
 	n, err := b.inner.Read(buffer)
 	if errors.Is(err, io.EOF) {
 		b.finish()
@@ -63,7 +64,9 @@
 // finish notes that the body was read to its end. A time limit for reading it does not hold for the next request, which
 // the connection reads from now on.
 func (b *body) finish() {
-	b.complete.Store(true)
+	if !b.complete.Swap(true) {
+		b.exchange.connection.conn.holder.Run(1)
+	}
 	_ = b.exchange.connection.conn.SetReadDeadline(time.Time{})
 	b.signal()
 }
--- a/internal/caller/pipeline/connection.go
+++ b/internal/caller/pipeline/connection.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
+	"net/url"
 	"os"
 	"slices"
 	"sync"
@@ -16,7 +18,7 @@
 // A connection is a caller's connection with its unanswered requests.
 type connection struct {
 	server   *Server
-	conn     net.Conn
+	conn     *meteredConn
 	recorder *headRecorder
 	reader   *bufio.Reader
 	writer   *bufio.Writer
@@ -37,18 +39,33 @@
 }
 
 func newConnection(s *Server, conn net.Conn) *connection {
-	recorder := &headRecorder{reader: conn, limit: s.maxHeaderBytes}
-	c := &connection{
-		server: s, conn: conn, recorder: recorder,
-		reader:      bufio.NewReaderSize(recorder, bufferBytes),
-		writer:      bufio.NewWriterSize(conn, bufferBytes),
-		readingHead: true,
-	}
+	metered := &meteredConn{Conn: conn, stallTimeout: s.stallTimeout}
+	c := &connection{server: s, conn: metered, readingHead: true}
 	c.changed = sync.NewCond(&c.mu)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
 }
 
+// open takes the connection's part of the budget and its buffers. It returns false if there is no room.
+func (c *connection) open() bool {
+	address, _ := netip.ParseAddrPort(c.conn.RemoteAddr().String())
+	holder, opened := c.server.budget.Open(time.Now(), address.Addr(), c.giveUp)
+	if !opened {
+		return false
+	}
+	c.conn.holder = holder
+	c.recorder = &headRecorder{reader: c.conn, limit: c.server.maxHeaderBytes}
+	c.reader = bufio.NewReaderSize(c.recorder, bufferBytes)
+	c.writer = bufio.NewWriterSize(c.conn, bufferBytes)
+	return true
+}
+
+// giveUp closes the connection to make room for others.
+func (c *connection) giveUp() {
+	c.abort()
+	c.server.logShortage()
+}
+
 // serve reads requests until the caller or the server ends the connection, and returns when all handlers have ended.
 func (c *connection) serve() {
 	_ = c.conn.SetReadDeadline(time.Now().Add(c.server.readHeaderTimeout))
@@ -66,12 +83,17 @@
 		return false
 	}
 	c.beginHead()
-	request, status, err := c.readHead()
+	held := &holdings{holder: c.conn.holder}
+	request, status, err := c.readHead(held)
 	if err != nil {
+		held.end()
 		c.endReading(err)
 		return false
 	}
-	x := newExchange(c, request)
+	x := newExchange(c, request, held)
+	if status == 0 && !held.takeRequest(request, c.server.maxBodyBytes) {
+		status = http.StatusServiceUnavailable
+	}
 	if status != 0 {
 		x.refuse(status)
 		c.start(x, false)
@@ -93,12 +115,13 @@
 	c.mu.Lock()
 	c.readingHead, c.received = true, true
 	c.mu.Unlock()
+	c.conn.holder.BeginRequest()
 	_ = c.conn.SetReadDeadline(time.Now().Add(c.server.readHeaderTimeout))
 }
 
-// readHead reads the head of a request. The status is that of a refusal of the request, or 0. An error means that nothing
+// readHead reads the head of a request, for which it takes its part of the budget. The status is that of a refusal of the request, or 0. An error means that nothing
 // can be answered.
-func (c *connection) readHead() (*http.Request, int, error) {
+func (c *connection) readHead(held *holdings) (*http.Request, int, error) {
 	for range 2 {
 		// Some callers send an empty line after a body.
 		if next, err := c.reader.Peek(1); err != nil || next[0] != '\r' && next[0] != '\n' {
@@ -107,20 +130,27 @@
 		_, _ = c.reader.Discard(1)
 	}
 	buffered, _ := c.reader.Peek(c.reader.Buffered())
-	c.recorder.begin(buffered)
+	c.recorder.begin(buffered, held)
 	request, err := http.ReadRequest(c.reader)
 	head := c.recorder.end(c.reader.Buffered())
 	_ = c.conn.SetReadDeadline(time.Time{})
 	switch {
+	case c.recorder.noRoom:
+		return emptyRequest(), http.StatusServiceUnavailable, nil
 	case err == nil:
 		return request, checkHead(request, head), nil
 	case isEnd(err):
 		return nil, 0, err
 	default:
-		return &http.Request{ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}, Body: http.NoBody, Close: true}, statusOf(err), nil
+		return emptyRequest(), statusOf(err), nil
 	}
 }
 
+// emptyRequest stands for a request that could not be read.
+func emptyRequest() *http.Request {
+	return &http.Request{ProtoMajor: 1, ProtoMinor: 1, URL: &url.URL{}, Header: http.Header{}, Body: http.NoBody, Close: true}
+}
+
 // isEnd reports whether err is the end of the connection rather than a malformed request.
 func isEnd(err error) bool {
 	var netError net.Error
@@ -167,15 +197,18 @@
 func (c *connection) finish(x *exchange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	x.endHoldings()
 	c.exchanges = slices.DeleteFunc(c.exchanges, func(other *exchange) bool { return other == x })
 	if x.closesConnection {
 		c.closing = true
 		_ = c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+		c.conn.holder.Leave()
 	}
 	if len(c.exchanges) > 0 {
 		close(c.exchanges[0].turn)
 	} else if !c.closing && !c.readingHead {
 		_ = c.conn.SetReadDeadline(time.Now().Add(c.idleTime()))
+		c.conn.holder.Idle(time.Now())
 	}
 	c.changed.Broadcast()
 }
@@ -239,8 +272,8 @@
 	c.mu.Lock()
 	closed := c.closed
 	c.mu.Unlock()
-	half, ok := c.conn.(interface{ CloseWrite() error })
-	if closed || !ok || c.ctx.Err() != nil || half.CloseWrite() != nil {
+	c.conn.holder.Leave()
+	if closed || c.ctx.Err() != nil || c.conn.CloseWrite() != nil {
 		return
 	}
 	_ = c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
@@ -255,6 +288,7 @@
 	c.mu.Unlock()
 	c.cancel()
 	_ = c.conn.Close()
+	c.conn.holder.Close()
 }
 
 // stop closes the connection if it is idle. The server is stopping, so that the answer to any request in progress, or to
--- a/internal/caller/pipeline/exchange.go
+++ b/internal/caller/pipeline/exchange.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/net/http/httpguts"
@@ -51,10 +52,15 @@
 	fullDuplex       bool
 	trailers         []string
 	closesConnection bool
+	holdings         *holdings
+	// noRoom is set if the request is refused because the budget has no room for it.
+	noRoom bool
+	// deadlineSet is set once the handler limits the reading of the body itself.
+	deadlineSet atomic.Bool
 }
 
-func newExchange(c *connection, request *http.Request) *exchange {
-	x := &exchange{connection: c, turn: make(chan struct{}), header: make(http.Header), declared: -1}
+func newExchange(c *connection, request *http.Request, held *holdings) *exchange {
+	x := &exchange{connection: c, turn: make(chan struct{}), header: make(http.Header), declared: -1, holdings: held}
 	ctx, cancel := context.WithCancel(context.WithValue(c.ctx, arrivalKey{}, time.Now()))
 	x.cancel = cancel
 	empty := request.ContentLength == 0
@@ -71,6 +77,12 @@
 // refuse makes the answer a refusal of a request that could not be read.
 func (x *exchange) refuse(status int) {
 	x.request.Close = true
+	if status == http.StatusServiceUnavailable {
+		// The body is left unread.
+		x.fullDuplex = true
+		x.noRoom = true
+		return
+	}
 	x.header.Set("Content-Type", "text/plain; charset=utf-8")
 	x.status = status
 	x.waiting = fmt.Appendf(nil, "%d %s\n", status, http.StatusText(status))
@@ -102,7 +114,11 @@
 			x.connection.server.logger.Error().Any("panic", cause).Bytes("stack", debug.Stack()).Msg("callers: the handler of a request failed")
 		}
 	}()
-	if x.status == 0 {
+	switch {
+	case x.noRoom:
+		x.connection.server.refuse(x, x.request)
+		x.connection.server.logShortage()
+	case x.status == 0:
 		x.connection.server.handler.ServeHTTP(x, x.request)
 	}
 	return true
@@ -144,7 +160,7 @@
 	}
 	x.written += int64(len(part))
 	if !x.headerSent {
-		if len(x.waiting)+len(part) <= x.waitingLimit() {
+		if len(x.waiting)+len(part) <= x.waitingLimit() && x.holdings.takeAnswer(len(part)) {
 			x.waiting = append(x.waiting, part...)
 			return len(part), nil
 		}
@@ -203,8 +219,24 @@
 	return nil
 }
 
+// limitWait limits the wait for the next part of the body, unless the handler does.
+func (x *exchange) limitWait() {
+	if timeout := x.connection.server.stallTimeout; timeout > 0 && !x.deadlineSet.Load() {
+		_ = x.connection.conn.SetReadDeadline(time.Now().Add(timeout))
+	}
+}
+
+// endHoldings returns what the exchange held of the budget.
+func (x *exchange) endHoldings() {
+	if x.body.complete.Load() {
+		x.connection.conn.holder.Run(-1)
+	}
+	x.holdings.end()
+}
+
 // SetReadDeadline sets the deadline for reading the rest of the body.
 func (x *exchange) SetReadDeadline(deadline time.Time) error {
+	x.deadlineSet.Store(true)
 	if x.body.complete.Load() {
 		return nil
 	}
@@ -229,6 +261,7 @@
 // length is known.
 func (x *exchange) sendHeader(complete bool) error {
 	<-x.turn
+	x.connection.conn.holder.BeginAnswer()
 	x.headerSent = true
 	hasBody := bodyAllowed(x.status)
 	if complete && x.declared < 0 && len(x.trailers) == 0 && hasBody && x.request.Method != http.MethodHead {
--- a/internal/caller/pipeline/options.go
+++ b/internal/caller/pipeline/options.go
@@ -1,13 +1,18 @@
 package pipeline
 
 import (
+	"cmp"
 	"net/http"
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"sapphirespread.example/internal/host/budget"
 )
 
 const (
+	// noTimeout outlasts any process.
+	noTimeout                = 100 * 365 * 24 * time.Hour
 	defaultReadHeaderTimeout = 10 * time.Second
 	defaultIdleTimeout       = time.Minute
 	defaultMaxHeaderBytes    = 64 << 10
@@ -26,9 +31,12 @@
 // An Option configures a Server.
 type Option func(*Server)
 
-// WithTimeouts sets the longest time to read the head of a request, and the longest time between requests.
+// WithTimeouts sets the longest time to read the head of a request, and the longest time between requests. Zero stands for
+// no limit.
 func WithTimeouts(readHeader, idle time.Duration) Option {
-	return func(s *Server) { s.readHeaderTimeout, s.idleTimeout = readHeader, idle }
+	return func(s *Server) {
+		s.readHeaderTimeout, s.idleTimeout = cmp.Or(readHeader, noTimeout), cmp.Or(idle, noTimeout)
+	}
 }
 
 // WithMaxHeaderBytes limits the size of a request's head in bytes.
@@ -46,6 +54,28 @@
 	return func(s *Server) { s.mayRunConcurrently = mayRun }
 }
 
+// WithBudget sets the budget that the connections and requests are part of, by default one without limits.
+func WithBudget(clients *budget.Budget) Option {
+	return func(s *Server) { s.budget = clients }
+}
+
+// WithMaxBodyBytes sets the part of a request's body that the handler may hold in memory, for the budget.
+func WithMaxBodyBytes(bytes int64) Option {
+	return func(s *Server) { s.maxBodyBytes = bytes }
+}
+
+// WithRefusal sets the handler that answers a request for which the budget has no room. The request is without its fields if
+// its head was not read to the end.
+func WithRefusal(refuse http.HandlerFunc) Option {
+	return func(s *Server) { s.refuse = refuse }
+}
+
+// WithStallTimeout ends a connection whose client takes nothing of an answer for that long, and a body of which nothing
+// arrives, unless the handler sets a deadline for that itself.
+func WithStallTimeout(timeout time.Duration) Option {
+	return func(s *Server) { s.stallTimeout = timeout }
+}
+
 // WithLogger sets the logger for panics of the handler and failures to accept.
 func WithLogger(logger zerolog.Logger) Option {
 	return func(s *Server) { s.logger = logger }
--- a/internal/caller/pipeline/requesthead.go
+++ b/internal/caller/pipeline/requesthead.go
@@ -62,6 +62,8 @@
 // statusOf returns the status with which a request is refused that could not be read.
 func statusOf(err error) int {
 	switch {
+	case errors.Is(err, errNoRoom):
+		return http.StatusServiceUnavailable
 	case errors.Is(err, errHeadTooLarge):
 		return http.StatusRequestHeaderFieldsTooLarge
 	case strings.Contains(err.Error(), "unsupported transfer encoding"):
--- a/internal/caller/pipeline/server.go
+++ b/internal/caller/pipeline/server.go
@@ -5,11 +5,13 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"sapphirespread.example/internal/host/accept"
+	"sapphirespread.example/internal/host/budget"
 )
 
 // pollPeriod is the time between two looks at the connections of a stopping server.
@@ -24,9 +26,16 @@
 	maxConcurrent      int
 	mayRunConcurrently func(*http.Request) bool
 	logger             zerolog.Logger
-	mu                 sync.Mutex
-	connections        map[*connection]struct{}
-	stopping           bool
+	budget             *budget.Budget
+	maxBodyBytes       int64
+	refuse             http.HandlerFunc
+	stallTimeout       time.Duration
+	shortage           shortageLog
+	// refused is the number of refused connections that are about to close.
+	refused     atomic.Int32
+	mu          sync.Mutex
+	connections map[*connection]struct{}
+	stopping    bool
 }
 
 // New returns a server of handler.
@@ -39,6 +48,9 @@
 		maxConcurrent:      defaultMaxConcurrent,
 		mayRunConcurrently: func(*http.Request) bool { return false },
 		logger:             zerolog.Nop(),
+		budget:             budget.New(budget.Limits{}),
+		maxBodyBytes:       defaultMaxBodyBytes,
+		refuse:             refuseWithoutRoom,
 		connections:        make(map[*connection]struct{}),
 	}
 	for _, option := range options {
@@ -56,6 +68,11 @@
 
 func (s *Server) start(conn net.Conn) {
 	c := newConnection(s, conn)
+	if !c.open() {
+		s.refuseConnection(conn)
+		s.logShortage()
+		return
+	}
 	s.mu.Lock()
 	s.connections[c] = struct{}{}
 	stopping := s.stopping
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"net/http"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -16,6 +15,7 @@
 
 	"sapphirespread.example/internal/control/controlpb"
 	"sapphirespread.example/internal/host/boottime"
+	"sapphirespread.example/internal/host/budget"
 	"sapphirespread.example/internal/peer"
 	"sapphirespread.example/internal/peer/peerpb"
 	"sapphirespread.example/internal/settings"
@@ -57,6 +57,8 @@
 	leadership   atomic.Pointer[leadership]
 	opened       chan struct{}
 	requestsHeld chan struct{}
+	// clients holds the budgets of the ports by name. It is complete before the first of them is served.
+	clients map[string]*budget.Budget
 }
 
 // New returns a control instance with the given settings. It serves nothing until Run is called.
@@ -69,6 +71,7 @@
 		state:        newState(),
 		opened:       make(chan struct{}),
 		requestsHeld: make(chan struct{}, 1),
+		clients:      make(map[string]*budget.Budget),
 	}
 	for _, option := range options {
 		option(c)
@@ -109,11 +112,14 @@
 	}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return c.peers.Serve(c.listeners.Peers) })
-	group.Go(func() error { return serveHTTP(operators.Server, c.listeners.Operators) })
-	extra, err := c.startExtraServers(group)
+	servers, err := c.extraPortServers()
 	if err != nil {
 		return err
 	}
+	servers = append(servers, operators)
+	for _, server := range servers {
+		group.Go(server.serve)
+	}
 	group.Go(func() error { return c.watchStore(ctx) })
 	group.Go(func() error {
 		c.batcher.run(ctx)
@@ -125,7 +131,7 @@
 	})
 	group.Go(func() error {
 		<-ctx.Done()
-		c.stop(append(extra, operators.Server))
+		c.stop(servers)
 		return nil
 	})
 	c.record("control", "started")
@@ -311,32 +317,28 @@
 	return c.store.HoldsLease(now) && c.store.Term() == term
 }
 
-// startExtraServers starts the servers added with WithServer and returns them.
-func (c *Control) startExtraServers(group *errgroup.Group) ([]*http.Server, error) {
-	var servers []*http.Server
+// extraPortServers returns the servers added with WithServer.
+func (c *Control) extraPortServers() ([]*portServer, error) {
+	var servers []*portServer
 	for _, configured := range c.extraServers {
 		listener, err := net.Listen("tcp", configured.address.String())
 		if err != nil {
 			return nil, fmt.Errorf("listening on %s: %w", configured.address, err)
 		}
-		server := c.newHTTPServer(configured.handler(c))
-		servers = append(servers, server)
-		group.Go(func() error { return serveHTTP(server, listener) })
+		servers = append(servers, c.newServer(configured.name, listener, configured.handler(c)))
 	}
 	return servers, nil
 }
 
 // stop transfers the leadership, drains the HTTP servers, ends the sessions and closes the store.
-func (c *Control) stop(servers []*http.Server) {
+func (c *Control) stop(servers []*portServer) {
 	c.record("control", "stopping")
 	c.logger.Info().Msg("control: stopping")
 	c.transferLeadership()
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	for _, server := range servers {
-		if server.Shutdown(ctx) != nil {
-			_ = server.Close()
-		}
+		server.stop(ctx)
 	}
 	c.setLeadership(nil)
 	_ = c.store.Close()
--- a/internal/control/operators.go
+++ b/internal/control/operators.go
@@ -1,14 +1,16 @@
 package control
 
 import (
+	"context"
 	"encoding/json"
-	"errors"
 	"expvar"
 	"fmt"
 	"net"
 	"net/http"
 
+	"sapphirespread.example/internal/caller/pipeline"
 	"sapphirespread.example/internal/host/boottime"
+	"sapphirespread.example/internal/host/budget"
 	"sapphirespread.example/internal/host/framing"
 	"sapphirespread.example/internal/operator"
 	"sapphirespread.example/limit"
@@ -16,12 +18,17 @@
 
 const maxHeaderBytes = 64 << 10
 
-// An operatorsServer serves the operator API and the metrics.
-type operatorsServer struct {
-	*http.Server
+// maxBodyBytes is the memory for the body of a published configuration: the largest one, and what reading it wastes.
+const maxBodyBytes = 2 << 20
+
+// A portServer serves the operators at one port.
+type portServer struct {
+	*pipeline.Server
+	listener net.Listener
 }
 
-func newOperatorsServer(c *Control) (*operatorsServer, error) {
+// newOperatorsServer returns the server of the operator API and the metrics.
+func newOperatorsServer(c *Control) (*portServer, error) {
 	api, err := operator.NewHandler(c)
 	if err != nil {
 		return nil, err
@@ -29,24 +36,32 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", c.serveMetrics)
 	mux.Handle("/", api)
-	return &operatorsServer{c.newHTTPServer(mux)}, nil
+	return c.newServer("operators", c.listeners.Operators, mux), nil
 }
 
-func (c *Control) newHTTPServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           framing.Guard(handler),
-		ReadHeaderTimeout: c.settings.Timeouts.ReadHeader,
-		IdleTimeout:       c.settings.Timeouts.Idle,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
+// newServer returns the server of a port, whose clients are in the metrics by its name.
+func (c *Control) newServer(name string, listener net.Listener, handler http.Handler) *portServer {
+	timeouts := c.settings.Timeouts
+	clients := budget.New(c.settings.Resources.Plan().Documents)
+	c.clients[name] = clients
+	server := pipeline.New(framing.Guard(handler),
+		pipeline.WithTimeouts(timeouts.ReadHeader, timeouts.Idle),
+		pipeline.WithStallTimeout(timeouts.BodyStall),
+		pipeline.WithMaxHeaderBytes(maxHeaderBytes),
+		pipeline.WithMaxBodyBytes(maxBodyBytes),
+		pipeline.WithBudget(clients),
+		pipeline.WithLogger(c.logger.With().Str("port", name).Logger()))
+	return &portServer{Server: server, listener: listener}
 }
 
-func serveHTTP(server *http.Server, listener net.Listener) error {
-	err := server.Serve(listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
+func (s *portServer) serve() error { return s.Serve(s.listener) }
+
+// stop serves the requests that have arrived and closes the connections, at once if ctx ends first.
+func (s *portServer) stop(ctx context.Context) {
+	_ = s.listener.Close()
+	if s.Shutdown(ctx) != nil {
+		s.Close()
 	}
-	return err
 }
 
 // A readiness is the readiness section of the metrics.
@@ -84,10 +99,15 @@
 	Targets   int       `json:"targets"`
 	// Limits holds the token bucket of each workspace.
 	Limits []limit.BucketStats `json:"limits,omitempty"`
+	// Clients holds what clients hold, by port.
+	Clients map[string]budget.Stats `json:"clients"`
 }
 
 func (c *Control) metrics() metricsReport {
-	report := metricsReport{Readiness: c.readiness()}
+	report := metricsReport{Readiness: c.readiness(), Clients: make(map[string]budget.Stats, len(c.clients))}
+	for name, clients := range c.clients {
+		report.Clients[name] = clients.Stats()
+	}
 	if l := c.leadership.Load(); l != nil {
 		report.Sessions = len(l.allSessions())
 		l.targetMu.Lock()
--- a/internal/control/option.go
+++ b/internal/control/option.go
@@ -28,13 +28,14 @@
 	return func(c *Control) { c.tls = config }
 }
 
-// WithServer adds an HTTP server at the given address.
-func WithServer(address netip.AddrPort, handler func(*Control) http.Handler) Option {
-	return func(c *Control) { c.extraServers = append(c.extraServers, extraServer{address, handler}) }
+// WithServer adds an HTTP server at the given address. The name is that of the port in the metrics.
+func WithServer(name string, address netip.AddrPort, handler func(*Control) http.Handler) Option {
+	return func(c *Control) { c.extraServers = append(c.extraServers, extraServer{name, address, handler}) }
 }
 
 // An extraServer is an HTTP server added with WithServer.
 type extraServer struct {
+	name    string
 	address netip.AddrPort
 	handler func(*Control) http.Handler
 }
--- a/internal/daemon/counters.go
+++ b/internal/daemon/counters.go
@@ -16,6 +16,7 @@
 	crashes        *expvar.Int
 	droppedReports *expvar.Int
 	refused        *expvar.Map
+	clients        *expvar.Map // by port
 }
 
 func newCounters() *counters {
@@ -28,6 +29,7 @@
 		crashes:        new(expvar.Int),
 		droppedReports: new(expvar.Int),
 		refused:        new(expvar.Map).Init(),
+		clients:        new(expvar.Map).Init(),
 	}
 	c.vars.Set("requests", c.requests)
 	c.vars.Set("sub-calls", c.nestedCalls)
@@ -36,6 +38,7 @@
 	c.vars.Set("backend-server-crashes", c.crashes)
 	c.vars.Set("reports-dropped", c.droppedReports)
 	c.vars.Set("refused", c.refused)
+	c.vars.Set("clients", c.clients)
 	return c
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,8 +14,11 @@
 	"golang.org/x/sync/errgroup"
 
 	"sapphirespread.example/configuration"
+	"sapphirespread.example/internal/caller/pipeline"
 	"sapphirespread.example/internal/daemon/dialect"
 	"sapphirespread.example/internal/host/boottime"
+	"sapphirespread.example/internal/host/budget"
+	"sapphirespread.example/internal/host/framing"
 	"sapphirespread.example/internal/membership/target"
 	"sapphirespread.example/internal/peer"
 	"sapphirespread.example/internal/settings"
@@ -198,19 +201,20 @@
 	subcalls.HandleFunc("PUT "+announcePath, d.serveAnnounce)
 	subcalls.HandleFunc("DELETE "+announcePath+"/{name}", d.serveLeave)
 	subcalls.HandleFunc("/", d.serveNestedCall)
+	callers := budget.New(d.settings.Resources.Plan().Callers)
 	servers := []server{
-		newCallerServer(d, d.listeners.Callers, http.HandlerFunc(d.serveCaller)),
-		newHTTPServer(d.listeners.Operators, operators, d.settings.Timeouts),
+		d.newServer("callers", d.listeners.Callers, callers, http.HandlerFunc(d.serveCaller), pipeline.WithConcurrency(d.mayRunConcurrently)),
+		d.newPortServer("operators", d.listeners.Operators, operators),
 	}
 	if d.listeners.Subcalls != nil {
-		servers = append(servers, newHTTPServer(d.listeners.Subcalls, subcalls, d.settings.Timeouts))
+		servers = append(servers, d.newServer("sub-calls", d.listeners.Subcalls, callers, framing.Guard(subcalls)))
 	}
 	for _, extra := range d.extraServers {
 		listener, err := net.Listen("tcp", extra.address.String())
 		if err != nil {
 			return nil, fmt.Errorf("listening on %s: %w", extra.address, err)
 		}
-		servers = append(servers, newHTTPServer(listener, extra.handler(d), d.settings.Timeouts))
+		servers = append(servers, d.newPortServer(extra.name, listener, extra.handler(d)))
 	}
 	return servers, nil
 }
--- a/internal/daemon/option.go
+++ b/internal/daemon/option.go
@@ -39,13 +39,14 @@
 	return func(d *Daemon) { d.dialect = custom }
 }
 
-// WithServer adds an HTTP server that listens on address.
-func WithServer(address netip.AddrPort, handler func(*Daemon) http.Handler) Option {
-	return func(d *Daemon) { d.extraServers = append(d.extraServers, extraServer{address, handler}) }
+// WithServer adds an HTTP server that listens on address. The name is that of the port in the metrics.
+func WithServer(name string, address netip.AddrPort, handler func(*Daemon) http.Handler) Option {
+	return func(d *Daemon) { d.extraServers = append(d.extraServers, extraServer{name, address, handler}) }
 }
 
 // extraServer is an additional HTTP server that the daemon runs.
 type extraServer struct {
+	name    string
 	address netip.AddrPort
 	handler func(*Daemon) http.Handler
 }
--- a/internal/settings/checker.go
+++ b/internal/settings/checker.go
@@ -112,6 +112,17 @@
 	c.checkDuration("timeouts.announcement", t.Announcement, time.Millisecond, maxTimeout)
 }
 
+func (c *checker) checkResources(r Resources) {
+	c.checkCount("resources.memory", r.Memory, minMemory, maxMemory)
+	c.checkCount("resources.descriptors", r.Descriptors, minDescriptors, maxDescriptors)
+}
+
+func (c *checker) checkCount(name string, value, low, high int) {
+	if value < low || value > high {
+		c.report(name, strconv.Itoa(value), fmt.Sprintf("a number from %d to %d", low, high))
+	}
+}
+
 func (c *checker) checkLog(l Log) {
 	if !slices.Contains(levels, l.Level) {
 		c.report("log.level", quoteOrNothing(l.Level), "one of "+strings.Join(levels, ", "))
--- a/internal/settings/checkprocess.go
+++ b/internal/settings/checkprocess.go
@@ -29,6 +29,7 @@
 	}
 	c.checkDuration("coasting", d.Coasting, 0, maxFreshness)
 	c.checkTimeouts(d.Timeouts)
+	c.checkResources(d.Resources)
 	c.checkLog(d.Log)
 	c.checkTLS(d.TLS)
 }
@@ -70,6 +71,7 @@
 	c.checkDuration("heartbeat", s.Heartbeat, minHeartbeat, time.Minute)
 	c.checkDuration("election-timeout", s.ElectionTimeout, minHeartbeatsPerElection*s.Heartbeat, maxTimeout)
 	c.checkTimeouts(s.Timeouts)
+	c.checkResources(s.Resources)
 	c.checkLog(s.Log)
 	c.checkTLS(s.TLS)
 }
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -28,6 +28,7 @@
 	Heartbeat       time.Duration `toml:"heartbeat"`
 	Timeouts        Timeouts      `toml:"timeouts"`
 	Log             Log           `toml:"log"`
+	Resources       Resources     `toml:"resources"`
 	TLS             TLS           `toml:"tls"`
 }
 
@@ -38,6 +39,7 @@
 		ElectionTimeout: defaultElectionTimeout,
 		Heartbeat:       defaultHeartbeat,
 		Timeouts:        defaultTimeouts(),
+		Resources:       defaultResources(),
 		Log:             defaultLog(),
 	}
 	c := decode(path, &s)
--- a/internal/settings/daemon.go
+++ b/internal/settings/daemon.go
@@ -29,10 +29,11 @@
 	// FarCost is the factor by which the cost of a target in another failure domain is multiplied.
 	FarCost float64 `toml:"far-cost"`
 	// Coasting is how long workspaces may spend at their recently observed rate while no leader grants tokens.
-	Coasting time.Duration `toml:"coasting"`
-	Timeouts Timeouts      `toml:"timeouts"`
-	Log      Log           `toml:"log"`
-	TLS      TLS           `toml:"tls"`
+	Coasting  time.Duration `toml:"coasting"`
+	Timeouts  Timeouts      `toml:"timeouts"`
+	Log       Log           `toml:"log"`
+	Resources Resources     `toml:"resources"`
+	TLS       TLS           `toml:"tls"`
 }
 
 // LoadDaemon loads and checks the settings file of a daemon and returns all problems as configuration.Problems.
@@ -41,6 +42,7 @@
 		Freshness: defaultFreshness,
 		FarCost:   defaultFarCost,
 		Timeouts:  defaultTimeouts(),
+		Resources: defaultResources(),
 		Log:       defaultLog(),
 	}
 	c := decode(path, &d)
