--- a/internal/daemon/counters.go
+++ b/internal/daemon/counters.go
@@ -17,6 +17,7 @@
 	droppedReports *expvar.Int
 	outOfUse       *expvar.Int
 	refused        *expvar.Map
+	clients        *expvar.Map // by port
 }
 
 func newCounters() *counters {
@@ -30,6 +31,7 @@
 		droppedReports: new(expvar.Int),
 		outOfUse:       new(expvar.Int),
 		refused:        new(expvar.Map).Init(),
+		clients:        new(expvar.Map).Init(),
 	}
 	c.vars.Set("requests", c.requests)
 	c.vars.Set("sub-calls", c.nestedCalls)
@@ -39,6 +41,7 @@
 	c.vars.Set("reports-dropped", c.droppedReports)
 	c.vars.Set("out-of-use-refused", c.outOfUse)
 	c.vars.Set("refused", c.refused)
+	c.vars.Set("clients", c.clients)
 	return c
 }
 
--- a/internal/settings/daemon.go
+++ b/internal/settings/daemon.go
@@ -38,10 +38,11 @@
 	LearnPace bool `toml:"learn-pace"`
 	// ScarceServices makes the daemon refuse requests of callers before their first call if a service that they need
 	// further down has no room for them.
-	ScarceServices bool     `toml:"scarce-services"`
-	Timeouts       Timeouts `toml:"timeouts"`
-	Log            Log      `toml:"log"`
-	TLS            TLS      `toml:"tls"`
+	ScarceServices bool      `toml:"scarce-services"`
+	Timeouts       Timeouts  `toml:"timeouts"`
+	Log            Log       `toml:"log"`
+	Resources      Resources `toml:"resources"`
+	TLS            TLS       `toml:"tls"`
 }
 
 // LoadDaemon loads and checks the settings file of a daemon and returns all problems as configuration.Problems.
@@ -50,6 +51,7 @@
 		Freshness: defaultFreshness,
 		FarCost:   defaultFarCost,
 		Timeouts:  defaultTimeouts(),
+		Resources: defaultResources(),
 		Log:       defaultLog(),
 	}
 	c := decode(path, &d)
