--- a/priority/admission.go
+++ b/priority/admission.go
@@ -67,7 +67,7 @@
 	if a.queue.len() == 0 && a.hasFreeSlot() {
 		return a.admit(verdicts, r)
 	}
-	if lowest, bounded := a.lowestQueueablePriority(); bounded && r.Priority > lowest && !a.hasFreeSlot() {
+	if lowest, bounded := a.lowestQueueablePriority(); bounded && r.Priority > lowest && !a.hasFreeSlot() && !a.finishes(&r) {
 		return a.refuse(verdicts, r.ID, refusal.Overloaded)
 	}
 	a.queue.push(now, a.waitDeadline(now, &r), r)
@@ -251,12 +251,21 @@
 		return verdicts
 	}
 	for _, w := range a.queue.lessImportantThan(lowest) {
+		if a.finishes(&w.request) {
+			continue
+		}
 		a.queue.remove(w)
 		verdicts = a.refuse(verdicts, w.request.ID, refusal.Overloaded)
 	}
 	return verdicts
 }
 
+// finishes reports whether r belongs to what has begun and is finished first. Its entry has let it begin, so a level that
+// has become stricter since doesn't refuse it: it waits behind what is more important.
+func (a *Admission) finishes(r *Request) bool {
+	return a.queue.begunFirst && r.Nested
+}
+
 // shedderLimit returns the limit by which the shedder works out the capacity. A level for call trees outlasts a trial of
 // another limit, so it ignores trials, and counts on no more than the announced slots unless more requests run.
 func (a *Admission) shedderLimit() int {
--- a/priority/shedder.go
+++ b/priority/shedder.go
@@ -203,6 +203,9 @@
 func (s *shedder) updateAdmittedShare(elapsed time.Duration, load load) {
 	s.observeLatency()
 	s.observeLimit(load.limit)
+	if s.slotTimes != nil && s.meanLatency == 0 {
+		return // no run has told what a slot is worth
+	}
 	admitted := 0.0
 	if load.waiting == 0 && load.hasFreeSlot && s.dropped == 0 {
 		steps := float64(min(elapsed/shedWindow, 8))
