--- a/configuration/service.go
+++ b/configuration/service.go
@@ -21,6 +21,12 @@
 	ColdStart time.Duration `json:"cold-start,omitempty" toml:"cold-start,omitempty"`
 	// ColdRate is how many requests per second a cold backend server may be given, or zero for no bound.
 	ColdRate float64 `json:"cold-rate,omitempty" toml:"cold-rate,omitempty"`
+	// LearnPace paces a backend server that starts, turns cold or fails by its answers, in place of the slow start of a fixed
+	// time.
+	LearnPace bool `json:"learn-pace,omitempty" toml:"learn-pace,omitempty"`
+	// PlanEntries makes all daemons refuse requests before their first call if a service that they need further down has no
+	// room for them.
+	PlanEntries bool `json:"plan-entries,omitempty" toml:"plan-entries,omitempty"`
 }
 
 // plainService is a service without methods, so that encoding/json does not call MarshalJSON recursively.
--- a/internal/admission/pace/pacer.go
+++ b/internal/admission/pace/pacer.go
@@ -46,6 +46,9 @@
 	p.cold.configure(now, coldRate, coldStart)
 }
 
+// Learn sets whether each server that starts, turns cold or fails is paced, also without a configured cold rate.
+func (p *Pacer) Learn(learn bool) { p.learn = learn }
+
 // Hear applies an accepted announcement of the backend server.
 func (p *Pacer) Hear(now time.Time, w Word) {
 	p.slots = w.Slots
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"sapphirespread.example/internal/peer"
 	"sapphirespread.example/internal/settings"
 	"sapphirespread.example/internal/trace"
+	"sapphirespread.example/priority"
 	"sapphirespread.example/retry"
 	"sapphirespread.example/timeline"
 )
@@ -63,6 +64,7 @@
 	holder           holder
 	rateLimiter      *rateLimiter
 	admitter         *admitter
+	ownAdmission     *priority.Admission // guarded by the admitter
 	pace             *paceGate
 	downstream       *downstreamLevels
 	throttle         *entryThrottle
--- a/internal/daemon/decisions.go
+++ b/internal/daemon/decisions.go
@@ -89,20 +89,20 @@
 	targets := target.NewTable(target.WithTableEvents(d.logTargetChange))
 	selector := target.NewChooser(targets, target.WithFailureDomain(d.settings.FailureDomain), target.WithDaemon(d.settings.Name), target.WithCrossDomainCost(d.settings.FarCost), target.WithSpillEvents(d.logSpill))
 	d.pace = newPaceGate(d)
-	admissionControl := priority.NewAdmission(append(d.scarce.admissionOptions(), priority.WithGate(d.pace.pacer))...)
+	d.ownAdmission = priority.NewAdmission(append(d.scarce.admissionOptions(), priority.WithGate(d.pace.pacer))...)
 	tokens := limit.NewHolder(limit.WithFallbackSpending(d.settings.Coasting), limit.WithFallbackEvents(d.logFallback))
 	list, inFlight := quarantine.NewList(), quarantine.NewInFlight()
 	if d.recorder == nil {
 		d.table, d.chooser, d.holder = targets, selector, tokens
 		d.quarantine, d.inFlightRuns = list, inFlight
-		d.admitter = newAdmitter(admissionControl)
+		d.admitter = newAdmitter(d.ownAdmission)
 		return
 	}
 	recordedTargets := d.recorder.Targets(targets, selector)
 	recordedQuarantine := d.recorder.Quarantine(list, inFlight)
 	d.quarantine, d.inFlightRuns = recordedQuarantine, recordedQuarantine
 	d.table, d.chooser, d.holder = recordedTargets, recordedTargets, d.recorder.Holder(tokens)
-	d.admitter = newAdmitter(d.recorder.Admission(admissionControl))
+	d.admitter = newAdmitter(d.recorder.Admission(d.ownAdmission))
 }
 
 // logTargetChange logs a change of a target in the daemon's target table.
--- a/internal/daemon/linkreceive.go
+++ b/internal/daemon/linkreceive.go
@@ -92,6 +92,7 @@
 	}
 	d.budgets.reconfigure(d.snapshot())
 	d.pace.reconfigure(d.snapshot())
+	d.planEntries(d.snapshot())
 	d.record("configuration", fmt.Sprintf("revision %d in force", delta.GetTo()))
 	return nil
 }
--- a/internal/daemon/pace.go
+++ b/internal/daemon/pace.go
@@ -40,7 +40,10 @@
 	if !known {
 		return
 	}
-	g.daemon.admitter.locked(func() { g.pacer.Configure(time.Now(), service.ColdRate, service.ColdStart) })
+	g.daemon.admitter.locked(func() {
+		g.pacer.Learn(g.daemon.settings.LearnPace || service.LearnPace)
+		g.pacer.Configure(time.Now(), service.ColdRate, service.ColdStart)
+	})
 }
 
 // share returns the share of its usual calls that the backend server asks for, see target.Target.Pace.
--- a/internal/daemon/scarceservices.go
+++ b/internal/daemon/scarceservices.go
@@ -2,11 +2,14 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"sapphirespread.example/configuration"
 	"sapphirespread.example/internal/admission/returning"
 	"sapphirespread.example/internal/admission/room"
 	"sapphirespread.example/internal/admission/tree"
@@ -16,9 +19,9 @@
 )
 
 // scarceServices refuses requests of callers that a service further down has no room for, before their first call. It
-// does nothing unless the settings ask for it.
+// does nothing until the settings or the configuration in force ask for it.
 type scarceServices struct {
-	on   bool
+	on   atomic.Bool
 	mu   sync.Mutex
 	gate *tree.Gate
 	// lines tells refused callers when to return.
@@ -28,7 +31,9 @@
 }
 
 func newScarceServices(logger zerolog.Logger, on bool) *scarceServices {
-	return &scarceServices{on: on, lines: returning.NewLines(), gate: tree.NewGate(tree.WithEvents(func(e tree.Event) { logHold(logger, e) }))}
+	s := &scarceServices{lines: returning.NewLines(), gate: tree.NewGate(tree.WithEvents(func(e tree.Event) { logHold(logger, e) }))}
+	s.on.Store(on)
+	return s
 }
 
 // logHold logs that requests begin or cease to be held back for a service.
@@ -41,19 +46,30 @@
 		Float64("calls", e.Expected.Calls).Dur("slot-ms", e.Expected.SlotTime).Uint64("refused", e.Refused).Msg(text)
 }
 
-func (s *scarceServices) enabled() bool { return s.on }
+func (s *scarceServices) enabled() bool { return s.on.Load() }
 
 // admissionOptions returns the options of the admission at the own target.
 func (s *scarceServices) admissionOptions() []priority.AdmissionOption {
-	if !s.on {
+	if !s.enabled() {
 		return nil
 	}
 	return []priority.AdmissionOption{priority.WithTreeDemand(), priority.WithBegunFirst()}
 }
 
+// planEntries turns the refusals at the entry on once the configuration asks for them. They stay on until the daemon
+// restarts, since the admission measures its demand otherwise from then on.
+func (d *Daemon) planEntries(snapshot configuration.Snapshot) {
+	wanted := slices.ContainsFunc(snapshot.Set.Services, func(s configuration.Service) bool { return s.PlanEntries })
+	if !wanted || d.scarce.on.Swap(true) {
+		return
+	}
+	d.admitter.locked(func() { d.ownAdmission.Apply(d.scarce.admissionOptions()...) })
+	d.logger.Info().Uint64("revision", snapshot.Revision).Msg("entry: requests are planned by the room of the services below")
+}
+
 // check returns a refusal if c is a root request that a service below has no room for, or nil.
 func (s *scarceServices) check(c *call) *attemptError {
-	if !s.on || c.nested {
+	if !s.enabled() || c.nested {
 		return nil
 	}
 	s.mu.Lock()
@@ -81,7 +97,7 @@
 // recordReport records what the target of an attempt reported. The caller must hold a.mu.
 func (s *scarceServices) recordReport(now time.Time, a *attempt) {
 	reached := a.report.handlingTime > 0 || a.daemon.isOwn(a.target)
-	if !s.on || !reached {
+	if !s.enabled() || !reached {
 		return
 	}
 	c := a.call
@@ -102,7 +118,7 @@
 
 // recordRun records and returns the costs of a run at the own target that was answered well.
 func (s *scarceServices) recordRun(c *call, slotTime time.Duration) []tree.Cost {
-	if !s.on {
+	if !s.enabled() {
 		return nil
 	}
 	costs := c.costs(slotTime)
@@ -114,7 +130,7 @@
 
 // recordTurnedAway records whether the own backend server turned a call away.
 func (s *scarceServices) recordTurnedAway(turnedAway bool) {
-	if !s.on {
+	if !s.enabled() {
 		return
 	}
 	s.mu.Lock()
@@ -125,7 +141,7 @@
 // addRooms adds to a report of the own target what its backend server turns away, and what the services below that calls
 // to callee need have room for.
 func (s *scarceServices) addRooms(now time.Time, callee priority.Callee, report *callReport) {
-	if !s.on {
+	if !s.enabled() {
 		return
 	}
 	s.mu.Lock()
--- a/priority/admission.go
+++ b/priority/admission.go
@@ -55,6 +55,13 @@
 	return a
 }
 
+// Apply applies options to an admission in use.
+func (a *Admission) Apply(opts ...AdmissionOption) {
+	for _, opt := range opts {
+		opt(a)
+	}
+}
+
 // Offer submits a request and returns the verdicts on it and on the waiting requests that it displaces. A
 // request without a verdict waits.
 func (a *Admission) Offer(now time.Time, r Request) []Verdict {
