--- a/internal/admission/pace/fakeserver_test.go
+++ b/internal/admission/pace/fakeserver_test.go
@@ -21,13 +21,14 @@
 	usual    float64 // requests per second
 	service  time.Duration
 	slots    int
-	knee     int                            // requests at a time beyond which the latency grows in proportion, 0 for none
-	coldFor  time.Duration                  // for which runs take twice as long
-	tellsIt  bool                           // announcements say that it is cold
-	failing  func(at time.Duration) bool    // whether runs fail
-	weight   func(at time.Duration) float64 // part of the usual requests that callers send, for a server without a pacer
-	pacer    *pace.Pacer                    // nil for none
-	shares   map[time.Duration]float64      // the part that the pacer asked for, by time
+	knee     int                                                    // requests at a time beyond which the latency grows in proportion, 0 for none
+	coldFor  time.Duration                                          // for which runs take twice as long
+	tellsIt  bool                                                   // announcements say that it is cold
+	failing  func(at time.Duration) bool                            // whether runs fail
+	below    func(at time.Duration) (priority.Cause, time.Duration) // how nested calls of a run that ends now ended, and their time
+	weight   func(at time.Duration) float64                         // part of the usual requests that callers send, for a server without a pacer
+	pacer    *pace.Pacer                                            // nil for none
+	shares   map[time.Duration]float64                              // the part that the pacer asked for, by time
 	running  map[uint64]fakeRun
 	starts   []time.Duration
 	finished []time.Duration // times at which runs succeeded
@@ -93,6 +94,10 @@
 		return priority.Result{Latency: at - run.startedAt, Failed: true, Cause: priority.CauseBroken}
 	}
 	s.finished = append(s.finished, at)
+	if s.below != nil {
+		cause, nested := s.below(run.startedAt)
+		return priority.Result{Latency: at - run.startedAt + nested, Nested: nested, Cause: cause, Failed: cause != priority.CauseNone}
+	}
 	return priority.Result{Latency: at - run.startedAt}
 }
 
--- a/internal/admission/pace/load_test.go
+++ b/internal/admission/pace/load_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sapphirespread.example/internal/admission/pace"
+	"sapphirespread.example/priority"
 )
 
 // timedSlowStart is the part of its usual requests that a server gets in a slow start of 10 s.
@@ -109,3 +110,19 @@
 		}
 	}
 }
+
+// TestShortServiceBelowLeavesThePaceOfItsCallers checks that a server whose requests fail since a service below is short, or
+// are slow for that, gets its usual requests as soon as another.
+func TestShortServiceBelowLeavesThePaceOfItsCallers(t *testing.T) {
+	s := fakeServer{usual: 100, service: 100 * time.Millisecond, slots: 64, pacer: newPacer(true, 0)}
+	s.below = func(at time.Duration) (priority.Cause, time.Duration) {
+		if at%(200*time.Millisecond) < 150*time.Millisecond {
+			return priority.CauseNested, 0
+		}
+		return priority.CauseNone, at % time.Second
+	}
+	s.run(6 * time.Second)
+	if started := countIn(s.starts, 5*time.Second, time.Second); started < 90 {
+		t.Errorf("%d requests started in the sixth second, want at least 90", started)
+	}
+}
--- a/internal/admission/pace/pacer.go
+++ b/internal/admission/pace/pacer.go
@@ -182,7 +182,7 @@
 		return
 	}
 	switch result.Cause {
-	case priority.CauseNone, priority.CauseErrored:
+	case priority.CauseNone, priority.CauseErrored, priority.CauseNested:
 		p.failing -= p.failing / failingAnswers
 	case priority.CauseRefused, priority.CauseBroken:
 		p.failing += (1 - p.failing) / failingAnswers
--- a/internal/admission/pace/ramp.go
+++ b/internal/admission/pace/ramp.go
@@ -15,6 +15,7 @@
 	nearCeiling   = 0.75
 	fallback      = 0.5
 	burstDuration = 100 * time.Millisecond // of starts at the current rate
+	latencySlack  = 5 * time.Millisecond   // keeps the noise of short runs from looking like crowding
 	// maxHealthyRamp is how long a ramp lasts without a failed round. Beyond it, a server that is slower than at its best
 	// is left to the concurrency limit.
 	maxHealthyRamp = 10 * time.Second
@@ -61,7 +62,7 @@
 func (r *ramp) ended(now time.Time, route string, result priority.Result, bound float64) verdict {
 	slowness := 1.0
 	if result.Cause == priority.CauseNone {
-		slowness = r.best.slowness(route, result.Latency)
+		slowness = r.best.slowness(route, result.Latency-result.Nested+latencySlack)
 	}
 	v := r.round.add(now, slowness, result)
 	if v == undecided {
--- a/internal/admission/pace/round.go
+++ b/internal/admission/pace/round.go
@@ -12,7 +12,7 @@
 	longRound        = time.Second // after which fewer answers are enough
 	badAnswers       = 3           // failures that end a round at once, if they are more than badShare of its answers
 	badShare         = 0.2
-	badErrorShare    = 0.5 // an answer with an error may be that of a deeper service
+	badErrorShare    = 0.5 // errors may be the requests' own
 	heldSlowness     = 1.6 // mean latency relative to the best of the route, above which the rate isn't raised
 	crowdedSlowness  = 2.5 // the same, above which it is lowered
 	maxTrackedRoutes = 64
@@ -88,7 +88,6 @@
 
 // slowness returns latency relative to the best of route, and records it.
 func (b bestLatencies) slowness(route string, latency time.Duration) float64 {
-	latency = max(latency, 1)
 	best, known := b[route]
 	switch {
 	case !known && len(b) >= maxTrackedRoutes:
--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -44,6 +44,7 @@
 	ended            atomic.Bool
 	runContext       context.Context
 	parent           *call
+	nestedTime       nestedTime
 	mu               sync.Mutex
 	succeededCallees []priority.Callee
 	history          requestHistory
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -257,7 +257,13 @@
 	body := &stallReader{ReadCloser: r.Body, controller: controller, stallTimeout: d.settings.Timeouts.BodyStall, deadline: c.deadline}
 	body.complete.Store(r.ContentLength == 0)
 	r.Body = body
+	if c.parent != nil {
+		c.parent.nestedTime.begin(time.Now())
+	}
 	answer, refused := d.answerRequest(ctx, r, c, controller, admit)
+	if c.parent != nil {
+		c.parent.nestedTime.end(time.Now(), refused != nil || answer.status >= http.StatusInternalServerError)
+	}
 	if refused != nil && refused.kind == refusal.Cancelled && d.drainEnded.Err() != nil {
 		refused = refuse(refusal.TargetFailed, "the instance stopped before the answer")
 	}
--- a/internal/daemon/local.go
+++ b/internal/daemon/local.go
@@ -327,17 +327,20 @@
 	if r.tracked != nil {
 		r.tracked.end(!inconclusive && crashedTarget == "")
 	}
-	serviceTime := time.Since(r.admittedAt)
+	now := time.Now()
+	nested, nestedFailed := r.call.nestedTime.at(now)
 	r.daemon.admitter.finish(r.call.admissionID, priority.Result{
-		Latency: serviceTime,
+		Latency: now.Sub(r.admittedAt),
 		Failed:  inconclusive || r.serverError || crashedTarget != "",
-		Cause:   r.cause(inconclusive),
+		Nested:  nested,
+		Cause:   r.cause(inconclusive, nestedFailed),
 	})
 	r.done(r.daemon.reportOf(r.call, crashedTarget))
 }
 
-// cause returns why the run failed, for the pace of the backend server.
-func (r *localRun) cause(inconclusive bool) priority.Cause {
+// cause returns why the run failed, for the pace of the backend server. An error after a failed nested call is put down to
+// the service below.
+func (r *localRun) cause(inconclusive, nestedFailed bool) priority.Cause {
 	switch {
 	case r.refused:
 		return priority.CauseRefused
@@ -345,6 +348,8 @@
 		return priority.CauseBroken
 	case inconclusive:
 		return priority.CauseAborted
+	case r.serverError && nestedFailed:
+		return priority.CauseNested
 	case r.serverError:
 		return priority.CauseErrored
 	default:
--- a/priority/result.go
+++ b/priority/result.go
@@ -9,6 +9,7 @@
 const (
 	CauseNone    Cause = iota
 	CauseAborted       // the caller left or the run was given up, which says nothing about the backend server
+	CauseNested        // the backend server answered with an error after a nested call had failed
 	CauseRefused       // the backend server refused the request
 	CauseErrored       // the backend server answered with an error
 	CauseBroken        // the backend server gave no answer
@@ -19,4 +20,6 @@
 	Latency time.Duration
 	Failed  bool
 	Cause   Cause
+	// Nested is the part of Latency that the backend server spent on nested calls.
+	Nested time.Duration
 }
