--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -46,6 +46,7 @@
 	ended            atomic.Bool
 	runContext       context.Context
 	parent           *call
+	nestedTime       nestedTime
 	mu               sync.Mutex
 	succeededCallees []priority.Callee
 	costsBelow       []tree.Cost // of the nested calls that succeeded
