--- a/configuration/checkobject.go
+++ b/configuration/checkobject.go
@@ -84,6 +84,8 @@
 	c.expect(!hasDuplicate(r.Workspaces), o, "workspaces", r.Workspaces, "each workspace once")
 	c.checkPattern(o, r)
 	c.expect(r.Deadline > 0 && r.Deadline <= maxDeadline, o, "deadline", r.Deadline, `a duration above 0, at most "10m"`)
+	c.expect(r.MaxHeaderBytes >= 0, o, "max-header-bytes", r.MaxHeaderBytes, "a whole number of bytes, or 0 for no limit")
+	c.expect(r.MaxBodyBytes >= 0, o, "max-body-bytes", r.MaxBodyBytes, "a whole number of bytes, or 0 for no limit")
 	c.expect(r.ExtraAttempts >= 0 && r.ExtraAttempts <= maxExtraAttempts, o, "extra-attempts", r.ExtraAttempts, "a whole number from 0 to 10")
 	c.expect(r.Objective >= 0 && r.Objective <= maxDeadline, o, "objective", r.Objective, `a duration from 0 to "10m"`)
 	c.expect(!r.Open || r.Repeatable || r.Unclaimed, o, "open", r.Open,
--- a/configuration/route.go
+++ b/configuration/route.go
@@ -32,6 +32,10 @@
 	Open          bool     `json:"open" toml:"open"`
 	ExtraAttempts int      `json:"extra-attempts" toml:"extra-attempts"`
 	Workspaces    []string `json:"workspaces,omitempty" toml:"workspaces,omitempty"`
+	// MaxHeaderBytes limits the names and values of a request's header fields, or is zero for no limit of the route.
+	MaxHeaderBytes int64 `json:"max-header-bytes,omitempty" toml:"max-header-bytes,omitempty"`
+	// MaxBodyBytes limits the body of a request, or is zero for no limit.
+	MaxBodyBytes int64 `json:"max-body-bytes,omitempty" toml:"max-body-bytes,omitempty"`
 }
 
 // ObjectKind returns KindRoute.
--- a/internal/backend/connection/pool.go
+++ b/internal/backend/connection/pool.go
@@ -75,7 +75,8 @@
 }
 
 // popIdle removes and returns the most recently used idle connection that has not carried key, or nil. It closes
-// connections to another address.
+// connections to another address, and the oldest one if all have carried key: requests that repeat a key would otherwise add
+// connections without end.
 func (p *Pool) popIdle(address netip.AddrPort, key string) *persistentConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -89,6 +90,10 @@
 			return conn
 		}
 	}
+	if len(p.idle) > 0 {
+		go p.idle[0].close()
+		p.idle = slices.Delete(p.idle, 0, 1)
+	}
 	return nil
 }
 
--- a/internal/cmd/platformcmd.go
+++ b/internal/cmd/platformcmd.go
@@ -63,7 +63,7 @@
 	if err != nil || checkOnly {
 		return err
 	}
-	tuneGC()
+	tuneGC(cfg.Resources.Memory)
 	return a.runWithLoggers(cfg.Log, cfg.Name, func(logger, requests zerolog.Logger) error {
 		logger.Info().Str("node", node.Name).Interface("settings", cfg).Msg("platform: started")
 		options := append(node.DaemonOptions(), daemon.WithLogger(logger), daemon.WithRequestLogger(requests))
--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -30,6 +30,7 @@
 	deadline         time.Time
 	returnMargin     time.Duration // time before the deadline at which a refusal must be sent to arrive in time
 	objective        time.Duration
+	maxBodyBytes     int64 // of a body of unknown length, or 0 for no limit
 	repeatable       bool
 	needsClaim       bool // may run only with a claim on its idempotency key
 	nested           bool // made by a backend server while it processes another request
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -91,6 +91,9 @@
 	}
 	c.rootIDHash = xxhash.Sum64String(cmp.Or(arrival.RootRequestID, c.rootID))
 	c.service = matched.ServiceFor(xxhash.Sum64String(c.rootID))
+	if refused := checkSize(r, matched); refused != nil {
+		return c, refused
+	}
 	if arrival.Remaining > 0 {
 		c.deadline = earlier(c.deadline, c.history.arrivedAt.Add(arrival.Remaining))
 	}
@@ -201,14 +204,15 @@
 func (d *Daemon) newCall(r *http.Request, matched configuration.Route) *call {
 	arrivedAt := pipeline.ArrivedAt(r.Context())
 	return &call{
-		history:    requestHistory{arrivedAt: arrivedAt},
-		needsClaim: !matched.Repeatable && !matched.Unclaimed,
-		route:      matched.Name,
-		service:    matched.Service,
-		repeatable: matched.Repeatable,
-		deadline:   arrivedAt.Add(matched.Deadline),
-		objective:  matched.Objective,
-		allowance:  retry.NewAllowance(matched.ExtraAttempts),
+		history:      requestHistory{arrivedAt: arrivedAt},
+		needsClaim:   !matched.Repeatable && !matched.Unclaimed,
+		route:        matched.Name,
+		service:      matched.Service,
+		repeatable:   matched.Repeatable,
+		deadline:     arrivedAt.Add(matched.Deadline),
+		objective:    matched.Objective,
+		maxBodyBytes: matched.MaxBodyBytes,
+		allowance:    retry.NewAllowance(matched.ExtraAttempts),
 		head: requestHead{
 			method:        r.Method,
 			host:          r.Host,
@@ -254,10 +258,14 @@
 	defer cancel()
 	defer context.AfterFunc(d.drainEnded, cancel)()
 	controller := http.NewResponseController(w)
+	limited := limitBody(r, c.maxBodyBytes)
 	body := &stallReader{ReadCloser: r.Body, controller: controller, stallTimeout: d.settings.Timeouts.BodyStall, deadline: c.deadline}
 	body.complete.Store(r.ContentLength == 0)
 	r.Body = body
 	answer, refused := d.answerRequest(ctx, r, c, controller, admit)
+	if refused != nil {
+		refused = limited.refused(refused)
+	}
 	if refused != nil && refused.kind == refusal.Cancelled && d.drainEnded.Err() != nil {
 		refused = refuse(refusal.TargetFailed, "the instance stopped before the answer")
 	}
--- a/internal/daemon/nestedcall.go
+++ b/internal/daemon/nestedcall.go
@@ -56,6 +56,9 @@
 	if !matched.Open && !allows(matched, parent.workspace) {
 		return nil, refuse(refusal.NoRoute, "the workspace has no such route")
 	}
+	if refused := checkSize(r, matched); refused != nil {
+		return nil, refused
+	}
 	c := d.newCall(r, matched)
 	c.rootID = parent.rootID
 	c.rootIDHash = parent.rootIDHash
--- a/internal/daemon/refusal_test.go
+++ b/internal/daemon/refusal_test.go
@@ -57,6 +57,9 @@
 		}
 	}
 	set.Routes[len(set.Routes)-3].Deadline = 300 * time.Millisecond
+	set.Routes = append(set.Routes, configuration.Route{
+		Name: "limited", Path: "/limited/*", Service: "courts", Priority: "low", Deadline: 20 * time.Second, Repeatable: true, MaxHeaderBytes: 2000, MaxBodyBytes: 10,
+	})
 	f.publish(set)
 
 	runs := &runTable{runs: make(map[string]int)}
@@ -114,6 +117,8 @@
 	cases := []refusalCase{
 		{refusal.MalformedRequest, func() { awaitServed("/courts/1") }, func(id string) reply { return halfBody(t, entry, id) }},
 		{refusal.NoRoute, nil, requestTo(entry, "/nowhere", "club", "")},
+		{refusal.HeaderTooLarge, nil, requestTo(entry, "/limited/1", "club", "", "Large", strings.Repeat("x", 2000))},
+		{refusal.BodyTooLarge, nil, requestTo(entry, "/limited/1", "club", "eleven bytes")},
 		{refusal.KeyMissing, nil, requestTo(entry, "/courts/1", "", "")},
 		{refusal.KeyUnknown, nil, requestTo(entry, "/courts/1", "stranger", "")},
 		{refusal.KeyWithdrawn, nil, requestTo(entry, "/courts/1", "withdrawn", "")},
--- a/refusal/answer.go
+++ b/refusal/answer.go
@@ -24,6 +24,8 @@
 
 var answers = map[Kind]Answer{
 	MalformedRequest:      {http.StatusBadRequest, NotRun, false, 0, "the request is malformed"},
+	HeaderTooLarge:        {http.StatusRequestHeaderFieldsTooLarge, NotRun, false, 0, "the header is longer than the route allows"},
+	BodyTooLarge:          {http.StatusRequestEntityTooLarge, NotRun, false, 0, "the body is longer than the route allows"},
 	NoRoute:               {http.StatusNotFound, NotRun, false, 0, "no route matches the request"},
 	KeyMissing:            {http.StatusUnauthorized, NotRun, false, 0, "the route demands a key"},
 	KeyUnknown:            {http.StatusUnauthorized, NotRun, false, 0, "the key is not known"},
--- a/refusal/kind.go
+++ b/refusal/kind.go
@@ -6,6 +6,8 @@
 // Kinds of refusals. The set is closed.
 const (
 	MalformedRequest      Kind = "malformed-request"
+	HeaderTooLarge        Kind = "header-too-large"
+	BodyTooLarge          Kind = "body-too-large"
 	NoRoute               Kind = "no-route"
 	KeyMissing            Kind = "key-missing"
 	KeyUnknown            Kind = "key-unknown"
