--- a/internal/caller/crowd/crowd_test.go
+++ b/internal/caller/crowd/crowd_test.go
@@ -1,8 +1,12 @@
 package crowd_test
 
 import (
+	"bufio"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -157,3 +161,49 @@
 func ordinaryCall(s *system) int {
 	return status(http.MethodGet, s.address(2, outboundPort), "/open/calm", "")
 }
+
+// TestLegalRequestsAreServedInCalm checks that single requests at the limits of the pages are served: a head of many short
+// fields, a body of the largest size at once, in chunks and in pieces with a pause, and large answers read late.
+func TestLegalRequestsAreServedInCalm(t *testing.T) {
+	s := newSystem(t)
+	defer s.stop()
+	body := strings.Repeat("b", bodyLimit)
+	var fields strings.Builder
+	for i := 0; fields.Len() < legalHeadBytes-200; i++ {
+		fmt.Fprintf(&fields, "%x:\r\n", i)
+	}
+	const pause = 2 * time.Second
+	for name, parts := range map[string][]string{
+		"many fields":  {strings.TrimSuffix(head("GET", "/open/calm"), "\r\n") + fields.String() + "\r\n"},
+		"one piece":    {head("POST", "/open/calm", fmt.Sprintf("Content-Length: %d", len(body))) + body},
+		"with a pause": {head("POST", "/open/calm", fmt.Sprintf("Content-Length: %d", len(body))) + body[:1000], body[1000:]},
+		"in chunks":    {head("POST", "/open/calm", "Transfer-Encoding: chunked") + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)},
+		"read late":    {head("GET", "/open/large")},
+	} {
+		conn, err := net.Dial("tcp", s.address(2, outboundPort))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.SetDeadline(time.Now().Add(waitLimit))
+		for i, part := range parts {
+			if i > 0 {
+				time.Sleep(pause)
+			}
+			if _, err := io.WriteString(conn, part); err != nil {
+				t.Errorf("%s: %v", name, err)
+			}
+		}
+		if name == "read late" {
+			time.Sleep(pause)
+		}
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		content, err := io.ReadAll(response.Body)
+		if response.StatusCode != http.StatusOK || err != nil || name == "read late" && len(content) != answerBytes {
+			t.Errorf("%s: status %d, %d bytes, %v", name, response.StatusCode, len(content), err)
+		}
+		_ = conn.Close()
+	}
+}
--- a/internal/caller/pipeline/meteredconn.go
+++ b/internal/caller/pipeline/meteredconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"net"
 	"os"
 	"time"
@@ -27,11 +28,12 @@
 
 // Write fails if the client takes nothing for stallTimeout.
 func (c *meteredConn) Write(part []byte) (written int, err error) {
-	for unread := c.unread(); ; {
+	for unread := math.MaxInt; ; {
+		now := time.Now()
 		if c.stallTimeout > 0 {
-			_ = c.SetWriteDeadline(time.Now().Add(c.stallTimeout))
+			_ = c.SetWriteDeadline(now.Add(c.stallTimeout / 2))
 		}
-		c.holder.AwaitOutgoing(time.Now())
+		c.holder.AwaitOutgoing(now)
 		n, err := c.Conn.Write(part[written:])
 		c.holder.Sent(time.Now(), n)
 		written += n
--- a/internal/daemon/requestsize.go
+++ b/internal/daemon/requestsize.go
@@ -11,8 +11,8 @@
 	"sapphirespread.example/refusal"
 )
 
-// headerFieldOverhead is the length of the colon, the space and the line end of a header field.
-const headerFieldOverhead = 4
+// headerFieldOverhead is the length of the colon and the line end of a header field. The blank between them is optional.
+const headerFieldOverhead = 3
 
 var errBodyTooLarge = errors.New("the body is longer than the route allows")
 
@@ -27,7 +27,7 @@
 	return nil
 }
 
-// headerBytes returns the size of the header fields as they are sent.
+// headerBytes returns the smallest size in which the header fields can have been sent.
 func headerBytes(header http.Header) int64 {
 	total := 0
 	for name, values := range header {
