--- a/internal/daemon/local.go
+++ b/internal/daemon/local.go
@@ -349,7 +349,7 @@
 	})
 	report := r.daemon.reportOf(r.call, crashedTarget)
 	if !inconclusive && !r.serverError && crashedTarget == "" {
-		report.costs = r.daemon.scarce.recordRun(r.call, serviceTime)
+		report.costs = r.daemon.scarce.recordRun(r.call, now.Sub(r.admittedAt))
 	}
 	r.done(report)
 }
