--- a/internal/control/failuredomains.go
+++ b/internal/control/failuredomains.go
@@ -25,7 +25,7 @@
 		return operator.NewFailure(operator.Invalid, err.Error())
 	}
 	if !c.store.HoldsLease(boottime.Now()) {
-		return errNotLeader
+		return c.notLeaderFailure(ctx)
 	}
 	before := c.evacuations(0).Version
 	if err := c.commitOrder(ctx, order); err != nil {
--- a/internal/daemon/outofuse.go
+++ b/internal/daemon/outofuse.go
@@ -34,8 +34,8 @@
 	}
 }
 
-// applyPeerDomains takes the failure domains out of use that another daemon reported with an answer. They reach a daemon
-// so that has lost control.
+// applyPeerDomains takes the failure domains out of use that another daemon reported with an answer, so that this daemon
+// learns of orders without control. It ignores nil.
 func (d *Daemon) applyPeerDomains(encoded *peerpb.OutOfUse, source string) {
 	if encoded == nil {
 		return
@@ -60,7 +60,7 @@
 		return nil
 	}
 	state := d.domains.State()
-	state.Age = 0 // it was that at the receipt of the state
+	state.Age = 0 // it dates from the receipt of the state
 	return message.EncodeOutOfUse(state)
 }
 
