--- a/internal/admission/pace/fakeserver_test.go
+++ b/internal/admission/pace/fakeserver_test.go
@@ -26,6 +26,7 @@
 	tellsIt  bool                                                   // announcements say that it is cold
 	failing  func(at time.Duration) bool                            // whether runs fail
 	below    func(at time.Duration) (priority.Cause, time.Duration) // how nested calls of a run that ends now ended, and their time
+	varies   func() float64                                         // multiplies the latency of a run, nil for none
 	weight   func(at time.Duration) float64                         // part of the usual requests that callers send, for a server without a pacer
 	pacer    *pace.Pacer                                            // nil for none
 	shares   map[time.Duration]float64                              // the part that the pacer asked for, by time
@@ -118,6 +119,9 @@
 	if at < s.coldFor {
 		latency *= 2
 	}
+	if s.varies != nil {
+		latency = time.Duration(float64(latency) * s.varies())
+	}
 	if s.failing != nil && s.failing(at) {
 		return time.Millisecond
 	}
--- a/internal/admission/pace/load_test.go
+++ b/internal/admission/pace/load_test.go
@@ -1,6 +1,7 @@
 package pace_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -126,3 +127,18 @@
 		t.Errorf("%d requests started in the sixth second, want at least 90", started)
 	}
 }
+
+// TestUnevenRunsDontSlowTheServer checks that a server whose runs differ tenfold in length, without being crowded, gets its usual
+// requests.
+func TestUnevenRunsDontSlowTheServer(t *testing.T) {
+	s := fakeServer{usual: 60, service: 10 * time.Millisecond, slots: 84, pacer: newPacer(true, 0)}
+	random := rand.New(rand.NewPCG(1, 2))
+	s.varies = func() float64 { return 0.2 + 2*random.ExpFloat64() }
+	s.run(6 * time.Second)
+	if started := countIn(s.starts, 4*time.Second, 2*time.Second); started < 108 {
+		t.Errorf("%d requests started in the fifth and sixth second, want at least 108", started)
+	}
+	if fellBack := s.pacer.Stats(start.Add(6 * time.Second)).FellBack; fellBack > 0 {
+		t.Errorf("fell back %d times", fellBack)
+	}
+}
--- a/internal/admission/pace/pacer.go
+++ b/internal/admission/pace/pacer.go
@@ -23,6 +23,7 @@
 	ramp     ramp
 	share    callerShare
 	slots    int
+	running  int     // requests that have started and not ended
 	failing  float64 // moving share of answers that failed
 	ramps    uint64
 	fellBack uint64
@@ -91,6 +92,7 @@
 
 // Started counts the start of a request.
 func (p *Pacer) Started(now time.Time) {
+	p.running++
 	p.cold.started(now)
 	if p.ramp.active {
 		p.ramp.refill(now, p.bound(now))
@@ -100,12 +102,14 @@
 
 // Ended records the end of a run of route.
 func (p *Pacer) Ended(now time.Time, route string, result priority.Result) {
+	running := p.running
+	p.running = max(0, p.running-1)
 	if !p.ramp.active {
 		p.watch(now, result)
 		return
 	}
 	rate := p.ramp.rate
-	if v := p.ramp.ended(now, route, result, p.bound(now)); v == crowded || v == failed {
+	if v := p.ramp.ended(now, route, result, running, p.bound(now)); v == crowded || v == failed {
 		p.fellBack++
 		p.share.lower(now, p.ramp.rate/rate)
 		p.notify(now, FellBack)
--- a/internal/admission/pace/ramp.go
+++ b/internal/admission/pace/ramp.go
@@ -58,13 +58,13 @@
 	}
 }
 
-// ended records the end of a run and returns the verdict on its round.
-func (r *ramp) ended(now time.Time, route string, result priority.Result, bound float64) verdict {
-	slowness := 1.0
+// ended records the end of a run, with the number of runs at that time, and returns the verdict on its round.
+func (r *ramp) ended(now time.Time, route string, result priority.Result, running int, bound float64) verdict {
+	slowness, crowding := 1.0, 1.0
 	if result.Cause == priority.CauseNone {
-		slowness = r.best.slowness(route, result.Latency-result.Nested+latencySlack)
+		slowness, crowding = r.best.observe(route, result.Latency-result.Nested+latencySlack, running)
 	}
-	v := r.round.add(now, slowness, result)
+	v := r.round.add(now, slowness, crowding, result)
 	if v == undecided {
 		return v
 	}
--- a/internal/admission/pace/round.go
+++ b/internal/admission/pace/round.go
@@ -7,15 +7,17 @@
 )
 
 const (
-	roundAnswers     = 8
-	minRound         = 100 * time.Millisecond
-	longRound        = time.Second // after which fewer answers are enough
-	badAnswers       = 3           // failures that end a round at once, if they are more than badShare of its answers
-	badShare         = 0.2
-	badErrorShare    = 0.5 // errors may be the requests' own
-	heldSlowness     = 1.6 // mean latency relative to the best of the route, above which the rate isn't raised
-	crowdedSlowness  = 2.5 // the same, above which it is lowered
-	maxTrackedRoutes = 64
+	roundAnswers    = 8
+	minRound        = 100 * time.Millisecond
+	longRound       = time.Second // after which fewer answers are enough
+	badAnswers      = 3           // failures that end a round at once, if they are more than badShare of its answers
+	badShare        = 0.2
+	badErrorShare   = 0.5 // errors may be the requests' own
+	heldSlowness    = 1.6 // mean latency relative to the best of the route, above which the rate isn't raised
+	crowdedSlowness = 2.5 // the same, above which it is lowered
+	crowdedAnswers  = 16  // fewer vary too much to lower a rate for their latency
+	// crowdingDivisor is the part of a rise in latency that the rise in requests at a time has to reach to explain it.
+	crowdingDivisor = 2
 )
 
 // A verdict is the judgement on one round.
@@ -35,12 +37,13 @@
 	answers  int
 	failures int
 	errors   int
-	slowness float64 // sum over the answers
+	slowness float64 // sum over the answers of their latency relative to the best of the route
+	running  float64 // sum over the answers of the requests at a time, relative to those at the best latency
 }
 
 // add records the end of a run and returns the verdict on the round, if it is over. Failures count whenever their runs
 // started, as they show the present state of the server.
-func (r *round) add(now time.Time, slowness float64, result priority.Result) verdict {
+func (r *round) add(now time.Time, slowness, running float64, result priority.Result) verdict {
 	switch result.Cause {
 	case priority.CauseAborted:
 		return undecided
@@ -53,6 +56,7 @@
 		}
 		r.answers++
 		r.slowness += slowness
+		r.running += running
 		if result.Cause == priority.CauseErrored {
 			r.errors++
 		}
@@ -73,7 +77,9 @@
 	switch {
 	case answered == 0:
 		return failed
-	case r.slowness > crowdedSlowness*float64(answered):
+	case r.running < r.slowness/crowdingDivisor:
+		return good // the server's own variation, as no more requests at a time explain it
+	case r.answers >= crowdedAnswers && r.slowness > crowdedSlowness*float64(answered):
 		return crowded
 	case r.slowness > heldSlowness*float64(answered):
 		return held
@@ -81,21 +87,3 @@
 		return good
 	}
 }
-
-// bestLatencies holds the best latency of each route since the start of the ramp. Routes beyond maxTrackedRoutes count as
-// fast.
-type bestLatencies map[string]time.Duration
-
-// slowness returns latency relative to the best of route, and records it.
-func (b bestLatencies) slowness(route string, latency time.Duration) float64 {
-	best, known := b[route]
-	switch {
-	case !known && len(b) >= maxTrackedRoutes:
-		return 1
-	case !known || latency < best:
-		b[route] = latency
-		return 1
-	default:
-		return float64(latency) / float64(best)
-	}
-}
