--- a/internal/backend/load/report.go
+++ b/internal/backend/load/report.go
@@ -5,6 +5,6 @@
 	Running int
 	Waiting int
 	Slots   int
-	// Slowness is how long work takes on the server's machine at this moment, where 1 is as usual, or 0 if not stated.
+	// Slowness is how long work takes on the server's instance at this moment, where 1 is as usual, or 0 if not stated.
 	Slowness float64
 }
--- a/internal/daemon/clientserver.go
+++ b/internal/daemon/clientserver.go
@@ -35,7 +35,7 @@
 	return &clientServer{Server: pipeline.New(handler, options...), listener: listener, done: make(chan struct{})}
 }
 
-// newPortServer is like newServer for a port that only the machine and its operators use.
+// newPortServer is like newServer for a port that only the instance and its operators use.
 func (d *Daemon) newPortServer(name string, listener net.Listener, handler http.Handler) *clientServer {
 	return d.newServer(name, listener, budget.New(d.settings.Resources.Plan().Port), framing.Guard(handler))
 }
--- a/internal/host/budget/plan.go
+++ b/internal/host/budget/plan.go
@@ -12,7 +12,7 @@
 	callersMemoryPart = 4
 	// callersDescriptorShare leaves a third to the connections to backend servers and other processes.
 	callersDescriptorShare = 2.0 / 3
-	// portConnections is several times the clients of a port that only the machine and its operators use.
+	// portConnections is several times the clients of a port that only the instance and its operators use.
 	portConnections = 64
 	portMemoryPart  = 64
 	// documentConnections and documentMemoryPart suit a port to which configurations are published.
@@ -26,7 +26,7 @@
 type Plan struct {
 	// Callers is for callers and for the calls of the backend server.
 	Callers Limits
-	// Port is for a port that only the machine and its operators use.
+	// Port is for a port that only the instance and its operators use.
 	Port Limits
 	// Documents is for a port to which configurations are published.
 	Documents Limits
--- a/internal/settings/resources.go
+++ b/internal/settings/resources.go
@@ -12,7 +12,7 @@
 	maxDescriptors = 1 << 20
 )
 
-// Resources holds the resources of the machine that a process may use. They bound what its clients can make it hold.
+// Resources holds the resources of the instance that a process may use. They bound what its clients can make it hold.
 type Resources struct {
 	// Memory is in MiB.
 	Memory int `toml:"memory"`
