Show the size of the log in memory in the metrics of control

Change: the replica counts the bytes of the entries that it holds; the metrics of control have them as log-bytes. No logic changes.

--- a/internal/control/operators.go
+++ b/internal/control/operators.go
@@ -101,6 +101,8 @@
 	FailureDomains domainsReport `json:"failure-domains"`
 	// Limits holds the token bucket of each workspace.
 	Limits []limit.BucketStats `json:"limits,omitempty"`
+	// LogBytes is the size of the replicated log's entries in memory.
+	LogBytes int64 `json:"log-bytes"`
 	// Clients holds what clients hold, by port.
 	Clients map[string]budget.Stats `json:"clients"`
 }
@@ -109,6 +111,7 @@
 	report := metricsReport{
 		Readiness:      c.readiness(),
 		FailureDomains: newDomainsReport(c.evacuations(0)),
+		LogBytes:       c.store.HeldBytes(),
 		Clients:        make(map[string]budget.Stats, len(c.clients)),
 	}
 	for name, clients := range c.clients {
--- a/internal/store/loop.go
+++ b/internal/store/loop.go
@@ -153,6 +153,7 @@
 		applied:            s.replica.Applied(),
 		members:            s.replica.Members(),
 		installedSnapshots: s.snapshots.installed,
+		heldBytes:          s.replica.HeldBytes(),
 	}
 	s.view.Store(next)
 	if previous.leading && (!next.leading || next.term != previous.term) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -145,6 +145,11 @@
 	return s.view.Load().applied
 }
 
+// HeldBytes returns the size of the log's entries in memory.
+func (s *Store) HeldBytes() int64 {
+	return s.view.Load().heldBytes
+}
+
 // Read calls read while no command is being applied.
 func (s *Store) Read(read func()) {
 	s.machineLock.RLock()
--- a/internal/store/view.go
+++ b/internal/store/view.go
@@ -19,6 +19,7 @@
 	applied            uint64
 	members            replica.Members
 	installedSnapshots uint64
+	heldBytes          int64
 }
 
 // equivalentTo reports whether the views are equal in all values whose changes Store.Changed reports.
--- a/replica/log.go
+++ b/replica/log.go
@@ -7,6 +7,7 @@
 	baseIndex uint64
 	baseTerm  uint64
 	entries   []Entry
+	bytes     int64 // sum of the sizes of the entries
 }
 
 func (l *log) lastIndex() uint64 {
@@ -55,11 +56,13 @@
 
 func (l *log) append(entries ...Entry) {
 	l.entries = append(l.entries, entries...)
+	l.bytes += sizeOf(entries)
 }
 
 // truncate removes the entries after index.
 func (l *log) truncate(index uint64) {
 	count := index - l.baseIndex
+	l.bytes -= sizeOf(l.entries[count:])
 	l.entries = l.entries[:count:count]
 }
 
@@ -69,6 +72,7 @@
 		return
 	}
 	term, _ := l.termAt(index)
+	l.bytes -= sizeOf(l.entries[:index-l.baseIndex])
 	l.entries = append([]Entry(nil), l.entries[index-l.baseIndex:]...)
 	l.baseIndex = index
 	l.baseTerm = term
@@ -79,6 +83,7 @@
 	l.baseIndex = index
 	l.baseTerm = term
 	l.entries = nil
+	l.bytes = 0
 }
 
 // findConflictByTerm returns the highest index up to limit whose entry has at most the given term.
@@ -100,3 +105,11 @@
 	}
 	return lastIndex >= l.lastIndex()
 }
+
+func sizeOf(entries []Entry) int64 {
+	size := int64(0)
+	for _, entry := range entries {
+		size += int64(entry.size())
+	}
+	return size
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -101,6 +101,11 @@
 	return r.log.entries[index-r.log.baseIndex:]
 }
 
+// HeldBytes returns the size of the log's entries in memory.
+func (r *Replica) HeldBytes() int64 {
+	return r.log.bytes
+}
+
 // Compact records a persisted snapshot of applied entries and removes the older entries, except for the number set by
 // WithRetainedEntries. It ignores a snapshot that is not newer than the previous one, or covers entries not yet
 // applied.
