--- a/internal/host/budget/plan.go
+++ b/internal/host/budget/plan.go
@@ -18,6 +18,8 @@
 	// documentConnections and documentMemoryPart suit a port to which configurations are published.
 	documentConnections = 128
 	documentMemoryPart  = 8
+	// logMemoryPart leaves room for as much before a snapshot, for the snapshot and for what is made of each command.
+	logMemoryPart = 16
 	// portGrace is many times what a request at such a port takes.
 	portGrace = 100 * time.Millisecond
 )
@@ -30,6 +32,9 @@
 	Port Limits
 	// Documents is for a port to which configurations are published.
 	Documents Limits
+	// Log is the size in bytes of the replicated log from which on a snapshot is taken, and of the entries before a
+	// snapshot that are kept for slow followers.
+	Log int64
 }
 
 // NewPlan returns the plan for a process that may use memory bytes and the given number of descriptors. Zero stands for the
@@ -45,5 +50,6 @@
 		Callers:   Limits{Connections: int(float64(descriptors) * callersDescriptorShare), Bytes: memory / callersMemoryPart},
 		Port:      Limits{Connections: portConnections, Bytes: memory / portMemoryPart, Grace: portGrace},
 		Documents: Limits{Connections: documentConnections, Bytes: memory / documentMemoryPart, Grace: portGrace},
+		Log:       memory / logMemoryPart,
 	}
 }
--- a/internal/store/options.go
+++ b/internal/store/options.go
@@ -43,6 +43,12 @@
 	return func(o *options) { o.snapshotBytes = size }
 }
 
+// WithRetainedBytes sets the maximum size of the entries before a snapshot that are kept for slow followers, see
+// replica.WithRetainedBytes.
+func WithRetainedBytes(size int64) Option {
+	return WithReplicaOptions(replica.WithRetainedBytes(size))
+}
+
 // WithClock sets the clock that measures leases. The default clock includes the time during which the machine is
 // suspended.
 func WithClock(now func() time.Time) Option {
--- a/replica/log.go
+++ b/replica/log.go
@@ -78,6 +78,20 @@
 	l.baseTerm = term
 }
 
+// retainedFrom returns the index before the oldest of the newest entries up to index that together are at most count and
+// take at most maxBytes.
+func (l *log) retainedFrom(index, count uint64, maxBytes int64) uint64 {
+	retained := l.entries[:index-l.baseIndex]
+	size := int64(0)
+	for i := len(retained); i > 0; i-- {
+		size += int64(retained[i-1].size())
+		if size > maxBytes || index-(l.baseIndex+uint64(i)) >= count {
+			return l.baseIndex + uint64(i)
+		}
+	}
+	return l.baseIndex
+}
+
 // reset removes all entries and sets the base.
 func (l *log) reset(index, term uint64) {
 	l.baseIndex = index
--- a/replica/options.go
+++ b/replica/options.go
@@ -10,6 +10,7 @@
 	defaultElectionTimeout    = time.Second
 	defaultHeartbeat          = 100 * time.Millisecond
 	defaultRetainedEntries    = 4096
+	defaultRetainedBytes      = 16 << 20
 	defaultSnapshotPieceBytes = 256 << 10
 	defaultAppendMessageBytes = 256 << 10
 	maxInFlightAppends        = 32
@@ -41,6 +42,7 @@
 	openMembershipSize int
 	random             *rand.Rand
 	retainedEntries    uint64
+	retainedBytes      int64
 	snapshotPieceBytes int
 	appendMessageBytes int
 }
@@ -85,6 +87,12 @@
 	return func(o *options) { o.retainedEntries = count }
 }
 
+// WithRetainedBytes sets the maximum size in bytes of the entries before a snapshot that are kept for slow followers. The
+// default is 16 MiB.
+func WithRetainedBytes(size int64) Option {
+	return func(o *options) { o.retainedBytes = size }
+}
+
 // WithPieceBytes sets the maximum size of a snapshot piece in bytes. The default is 256 KiB.
 func WithPieceBytes(size int) Option {
 	return func(o *options) { o.snapshotPieceBytes = size }
@@ -100,6 +108,7 @@
 		electionTimeout:    defaultElectionTimeout,
 		heartbeat:          defaultHeartbeat,
 		retainedEntries:    defaultRetainedEntries,
+		retainedBytes:      defaultRetainedBytes,
 		snapshotPieceBytes: defaultSnapshotPieceBytes,
 		appendMessageBytes: defaultAppendMessageBytes,
 	}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -106,17 +106,15 @@
 	return r.log.bytes
 }
 
-// Compact records a persisted snapshot of applied entries and removes the older entries, except for the number set by
-// WithRetainedEntries. It ignores a snapshot that is not newer than the previous one, or covers entries not yet
+// Compact records a persisted snapshot of applied entries and removes the older entries, except for the newest ones within
+// the limits of WithRetainedEntries and WithRetainedBytes. It ignores a snapshot that is not newer than the previous one, or covers entries not yet
 // applied.
 func (r *Replica) Compact(snapshot Snapshot) {
 	if snapshot.Index <= r.snapshot.Index || snapshot.Index > r.appliedIndex {
 		return
 	}
 	r.snapshot = snapshot
-	if snapshot.Index > r.retainedEntries {
-		r.log.compact(snapshot.Index - r.retainedEntries)
-	}
+	r.log.compact(r.log.retainedFrom(snapshot.Index, r.retainedEntries, r.retainedBytes))
 	r.configurations.compact(snapshot.Index)
 }
 
