Decode and commit one publish at a time, with its changes only

Cause: each of up to eight orders at once was decoded, also at followers before they redirect, and put into the log with its whole set, though all but one lose to the one on the same version. All replicas decoded, encoded and compared each. The collector of control had no limit and let that double the heap.

Change: followers redirect before they decode; the leader lets one publish at a time be decoded and committed, with its body read before; a resend and an order on an older version are answered before they are decoded; an invalid set takes no entry of the log; the log has the changes of a document to the revision they were made for. The collector's limit, which daemons had, holds for control.

Why it works: versions only increase, so an older base has lost, whoever answers it. A recorded result doesn't change. Both are read from applied entries, so that an order which was accepted is never refused (TestSettledResultsAreThoseOfTheLog).

--- a/configuration/publishresult.go
+++ b/configuration/publishresult.go
@@ -9,3 +9,8 @@
 	Winner   uint64   `json:"winner,omitempty"`
 	Problems Problems `json:"problems,omitempty"`
 }
+
+// Rejected returns the result of a publish whose set is invalid because of err, in whatever state it is applied.
+func Rejected(err error) PublishResult {
+	return PublishResult{Kind: Broken, Problems: asProblems(err).truncated(maxAnswerProblems)}
+}
--- a/configuration/registry.go
+++ b/configuration/registry.go
@@ -46,9 +46,10 @@
 // Publish puts the set of p into force if its base is the current revision and the set is valid. The time at is
 // recorded in the history. A repeated request with the same publication ID returns the first response again.
 func (r *Registry) Publish(at time.Time, p PublishRequest) PublishResult {
-	contentDigest := p.digest()
+	contentDigest := r.contentDigest(p)
 	if first, ok := r.answers.find(p.ID); ok {
-		if first.Digest != contentDigest {
+		// The id of a publish with a source is made of its document.
+		if p.Source == nil && first.Digest != contentDigest {
 			return r.brokenAnswer(Problems{{Name: "publication-id", Found: fmt.Sprintf("%q, the id of another publish", p.ID), Expected: "an id of its own"}})
 		}
 		return first.Published
@@ -60,6 +61,14 @@
 	return result
 }
 
+// contentDigest returns the digest that is recorded with the result of p.
+func (r *Registry) contentDigest(p PublishRequest) digest {
+	if p.Source != nil {
+		return "" // the ID says as much
+	}
+	return p.digest()
+}
+
 func (r *Registry) evaluate(at time.Time, p PublishRequest) PublishResult {
 	if p.ID == "" {
 		return r.brokenAnswer(Problems{{Name: "publication-id", Found: "nothing", Expected: "an id of its own"}})
@@ -81,7 +90,7 @@
 	if err != nil {
 		return r.brokenAnswer(asProblems(err))
 	}
-	rev := revision{Forward: set.Changes(r.current), Backward: r.current.Changes(set)}
+	rev := r.difference(p, set)
 	size := r.size + sizeOf(rev.Forward) - sizeOf(rev.Backward)
 	if size > r.maxSize {
 		return r.tooLargeAnswer(size)
@@ -106,6 +115,20 @@
 	return p.Set.sortedObjects(), nil
 }
 
+// difference returns the changes from the current set to set, and back. Those of a publish with changes are among the
+// objects that these name.
+func (r *Registry) difference(p PublishRequest, set Set) revision {
+	before, after := r.current, set
+	if p.Changes != nil {
+		named := make(map[objectID]bool, len(p.Changes))
+		for _, c := range p.Changes {
+			named[c.id()] = true
+		}
+		before, after = before.only(named), after.only(named)
+	}
+	return revision{Forward: after.Changes(before), Backward: before.Changes(after)}
+}
+
 func (r *Registry) accept(at time.Time, p PublishRequest, set Set, rev revision) {
 	r.revision++
 	rev.Entry = HistoryEntry{
@@ -183,17 +206,23 @@
 	return changes, false
 }
 
-// ReplaceSetByChanges returns p with its set replaced by the changes to its base, if the base is kept. A publish with a
-// source is returned unchanged, because its base is known only when it is applied.
+// ReplaceSetByChanges returns p with its set replaced by the changes to its base, if the base is kept. The base of a
+// publish with a source is the current revision if that has the version on which the source builds; with another version
+// the publish is returned unchanged.
 func (r *Registry) ReplaceSetByChanges(p PublishRequest) PublishRequest {
 	if p.Source != nil {
-		return p
+		if p.Source.Base != r.sourceVersion() {
+			return p
+		}
+		p.Base = r.revision
 	}
 	base, ok := r.Set(p.Base)
 	if p.Changes != nil || !ok || p.Set.Check() != nil {
 		return p
 	}
-	p.originalDigest = p.digest()
+	if p.Source == nil {
+		p.originalDigest = p.digest()
+	}
 	p.Changes = append([]Change{}, p.Set.Changes(base)...)
 	p.Set = Set{}
 	return p
--- a/configuration/set.go
+++ b/configuration/set.go
@@ -31,6 +31,28 @@
 	return sizeOf(s.Changes(Set{}))
 }
 
+// only returns the objects of the set that are named.
+func (s Set) only(named map[objectID]bool) Set {
+	return Set{
+		Workspaces: onlyNamed(s.Workspaces, named),
+		Keys:       onlyNamed(s.Keys, named),
+		Services:   onlyNamed(s.Services, named),
+		Priorities: onlyNamed(s.Priorities, named),
+		Limits:     onlyNamed(s.Limits, named),
+		Routes:     onlyNamed(s.Routes, named),
+	}
+}
+
+func onlyNamed[T Object](objects []T, named map[objectID]bool) []T {
+	var found []T
+	for _, o := range objects {
+		if named[objectID{o.ObjectKind(), o.ObjectName()}] {
+			found = append(found, o)
+		}
+	}
+	return found
+}
+
 func (s *Set) add(o Object) {
 	switch o := o.(type) {
 	case Workspace:
--- a/configuration/source.go
+++ b/configuration/source.go
@@ -22,10 +22,7 @@
 	if p.Source == nil {
 		return p, nil
 	}
-	var current uint64
-	if r.source != nil {
-		current = r.source.Version
-	}
+	current := r.sourceVersion()
 	if p.Source.Base != current {
 		return p, &PublishResult{Revision: r.revision, Kind: Conflict, Winner: r.revision}
 	}
@@ -35,9 +32,33 @@
 		}})
 		return p, &rejection
 	}
+	// Changes apply only to the revision that they were made for.
+	if p.Changes != nil && p.Base != r.revision {
+		return p, &PublishResult{Revision: r.revision, Kind: Conflict, Winner: r.revision}
+	}
 	p.Base = r.revision
 	return p, nil
 }
 
+// SettledResult returns the result of a publish with a source that builds on version base, if that can't change anymore:
+// the first result of a repeated publish, or a conflict, since the version in force is later and versions only increase.
+func (r *Registry) SettledResult(id string, base uint64) (PublishResult, bool) {
+	if first, ok := r.answers.find(id); ok {
+		return first.Published, true
+	}
+	if base < r.sourceVersion() {
+		return PublishResult{Revision: r.revision, Kind: Conflict, Winner: r.revision}, true
+	}
+	return PublishResult{}, false
+}
+
+// sourceVersion returns the version of the document in force, or 0 if the current set has none.
+func (r *Registry) sourceVersion() uint64 {
+	if r.source == nil {
+		return 0
+	}
+	return r.source.Version
+}
+
 // Source returns the source of the current set, or nil if it has none.
 func (r *Registry) Source() *Source { return r.source }
--- a/configuration/source_test.go
+++ b/configuration/source_test.go
@@ -1,9 +1,12 @@
 package configuration_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"sapphirespread.example/configuration"
 )
 
@@ -72,3 +75,48 @@
 		t.Errorf("got %v of %d requests, want about 90%% for a and the others for b", count, draws)
 	}
 }
+
+// TestSettledResultsAreThoseOfTheLog guards against an order that is answered before it is decoded otherwise than the log
+// would answer it. It draws publishes on old, current and future versions, some of them repeated.
+func TestSettledResultsAreThoseOfTheLog(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := configuration.NewRegistry()
+		var version uint64
+		for range rapid.IntRange(1, 40).Draw(t, "publishes") {
+			base := rapid.SampledFrom([]uint64{0, version / 2, version, version, version + 3}).Draw(t, "base")
+			next := base + rapid.Uint64Range(0, 3).Draw(t, "step")
+			id := fmt.Sprintf("%d on %d, %d", next, base, rapid.IntRange(0, 2).Draw(t, "variant"))
+			publish := publishWithSource(id, next, base)
+			settled, certain := r.SettledResult(id, base)
+			// Another publish may be applied before this one.
+			if other := publishWithSource("other "+id, version+1, version); rapid.Bool().Draw(t, "overtaken") && r.Publish(time.Unix(1, 0), r.ReplaceSetByChanges(other)).Kind == configuration.Accepted {
+				version++
+			}
+			got := r.Publish(time.Unix(1, 0), r.ReplaceSetByChanges(publish))
+			if certain && got.Kind != settled.Kind {
+				t.Fatalf("%s: the log answers %s, settled was %s", id, got.Kind, settled.Kind)
+			}
+			if current := r.Source(); current != nil {
+				version = current.Version
+			}
+		}
+	})
+}
+
+// TestChangesOfADocumentApplyToTheirRevisionOnly guards against the changes of a document that are applied to another set
+// with the same version, which a publish without a document has made possible.
+func TestChangesOfADocumentApplyToTheirRevisionOnly(t *testing.T) {
+	r := configuration.NewRegistry()
+	r.Publish(time.Unix(1, 0), publishWithSource("first", 5, 0))
+	late := r.ReplaceSetByChanges(publishWithSource("late", 7, 5))
+	without := configuration.PublishRequest{ID: "own", Base: 1, Set: configuration.Set{Limits: []configuration.Limit{{Name: "own", Rate: 1, Burst: 1}}}}
+	if got := r.Publish(time.Unix(2, 0), without); got.Kind != configuration.Accepted {
+		t.Fatalf("the set without a document: %s", got.Kind)
+	}
+	if got := r.Publish(time.Unix(3, 0), publishWithSource("again", 5, 0)); got.Kind != configuration.Accepted {
+		t.Fatalf("the document after it: %s", got.Kind)
+	}
+	if got := r.Publish(time.Unix(4, 0), late); got.Kind != configuration.Conflict {
+		t.Errorf("the changes made for revision 1 are %s on revision %d, want a conflict", got.Kind, r.Revision())
+	}
+}
--- a/internal/cmd/controlcmd.go
+++ b/internal/cmd/controlcmd.go
@@ -44,5 +44,6 @@
 	if err != nil {
 		return fmt.Errorf("securing sessions: %w", err)
 	}
+	tuneGC(cfg.Resources.Memory, controlGCPercent)
 	return control.New(cfg, control.WithLogger(logger), control.WithTLS(tlsConfig)).Run(ctx)
 }
--- a/internal/cmd/daemoncmd.go
+++ b/internal/cmd/daemoncmd.go
@@ -49,6 +49,6 @@
 	if err != nil {
 		return fmt.Errorf("securing sessions: %w", err)
 	}
-	tuneGC(cfg.Resources.Memory)
+	tuneGC(cfg.Resources.Memory, daemonGCPercent)
 	return daemon.New(cfg, daemon.WithLogger(logger), daemon.WithTLS(tlsConfig)).Run(ctx)
 }
--- a/internal/cmd/gc.go
+++ b/internal/cmd/gc.go
@@ -7,6 +7,8 @@
 
 const (
 	daemonGCPercent = 200
+	// controlGCPercent is the default of Go. What a publish leaves behind is collected before it adds to the next.
+	controlGCPercent = 100
 	// defaultMemoryLimit is the soft limit where the memory of the process is not known.
 	defaultMemoryLimit = 96 << 20 // bytes
 	// memoryLimitShare leaves room for what the collector doesn't count and for its own delay. With a limit that the live
@@ -15,11 +17,11 @@
 	mebibyte         = 1 << 20
 )
 
-// tuneGC makes the garbage collector run less often than by default until memory use approaches a soft limit, a share of the
+// tuneGC lets the heap grow by percent between two collections until memory use approaches a soft limit, a share of the
 // memory of the process in MiB. The environment variables GOGC and GOMEMLIMIT take precedence.
-func tuneGC(memory int) {
+func tuneGC(memory, percent int) {
 	if os.Getenv("GOGC") == "" {
-		debug.SetGCPercent(daemonGCPercent)
+		debug.SetGCPercent(percent)
 	}
 	if os.Getenv("GOMEMLIMIT") == "" {
 		limit := int64(defaultMemoryLimit)
--- a/internal/cmd/platformcmd.go
+++ b/internal/cmd/platformcmd.go
@@ -64,7 +64,7 @@
 	if err != nil || checkOnly {
 		return err
 	}
-	tuneGC(cfg.Resources.Memory)
+	tuneGC(cfg.Resources.Memory, daemonGCPercent)
 	return a.runWithLoggers(cfg.Log, cfg.Name, func(logger, requests zerolog.Logger) error {
 		logger.Info().Str("node", node.Name).Interface("settings", cfg).Msg("platform: started")
 		options := append(node.DaemonOptions(), daemon.WithLogger(logger), daemon.WithRequestLogger(requests))
@@ -85,6 +85,7 @@
 	if err != nil || checkOnly {
 		return err
 	}
+	tuneGC(cfg.Resources.Memory, controlGCPercent)
 	return a.runWithLoggers(cfg.Log, cfg.Name, func(logger, _ zerolog.Logger) error {
 		logger.Info().Str("node", node.Name).Interface("settings", cfg).Msg("platform: started")
 		options := append(node.ControlOptions(), control.WithLogger(logger))
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -54,6 +54,7 @@
 	batcher      *batcher
 	pool         *peer.Pool
 	peers        *peer.Server
+	publishGate  *publishGate
 	leadership   atomic.Pointer[leadership]
 	opened       chan struct{}
 	requestsHeld chan struct{}
@@ -69,6 +70,7 @@
 		incarnation:  uint64(time.Now().UnixNano()),
 		clock:        timeline.NewClock(),
 		state:        newState(),
+		publishGate:  newPublishGate(),
 		opened:       make(chan struct{}),
 		requestsHeld: make(chan struct{}, 1),
 		clients:      make(map[string]*budget.Budget),
--- a/internal/control/operators.go
+++ b/internal/control/operators.go
@@ -35,7 +35,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", c.serveMetrics)
-	mux.Handle("/", api)
+	mux.Handle("/", c.publishGate.handler(api))
 	return c.newServer("operators", c.listeners.Operators, mux), nil
 }
 
