Compress the history of changes that touch many objects

What the bound counts stays the size of the text, so that as many revisions as before can be shown and rolled back.

--- a/configuration/registry.go
+++ b/configuration/registry.go
@@ -144,6 +144,9 @@
 	r.history = append(r.history, rev)
 	r.historySize += rev.size()
 	r.dropOldest()
+	if i := len(r.history) - 1 - unpackedRevisions; i >= 0 {
+		r.history[i] = r.history[i].pack()
+	}
 }
 
 // dropOldest removes the oldest revisions that exceed the limits of the history.
@@ -169,7 +172,11 @@
 		return Set{}, false
 	}
 	var reverse []Change
-	for _, rev := range slices.Backward(r.history[next:]) {
+	for _, kept := range slices.Backward(r.history[next:]) {
+		rev, err := kept.unpack()
+		if err != nil {
+			return Set{}, false
+		}
 		reverse = append(reverse, rev.Backward...)
 	}
 	set, err := r.current.Apply(reverse)
@@ -193,7 +200,11 @@
 		return r.current.Changes(Set{}), true
 	}
 	index := map[objectID]int{}
-	for _, rev := range r.history[next:] {
+	for _, kept := range r.history[next:] {
+		rev, err := kept.unpack()
+		if err != nil {
+			return r.current.Changes(Set{}), true
+		}
 		for _, c := range rev.Forward {
 			if at, ok := index[c.id()]; ok {
 				changes[at] = c
--- a/configuration/registry_test.go
+++ b/configuration/registry_test.go
@@ -237,9 +237,9 @@
 }
 
 func TestNewerFormatIsRefused(t *testing.T) {
-	err := configuration.NewRegistry().UnmarshalBinary([]byte(`{"format":2}`))
-	if err == nil || !strings.Contains(err.Error(), "format 2") {
-		t.Fatalf("got %v, want an error that names format 2", err)
+	err := configuration.NewRegistry().UnmarshalBinary([]byte(`{"format":3}`))
+	if err == nil || !strings.Contains(err.Error(), "format 3") {
+		t.Fatalf("got %v, want an error that names format 3", err)
 	}
 }
 
--- a/configuration/registrystate.go
+++ b/configuration/registrystate.go
@@ -5,7 +5,11 @@
 	"fmt"
 )
 
-const registryFormat = 1
+const (
+	registryFormat = 1
+	// packedFormat has compressed revisions, which older versions can't read.
+	packedFormat = 2
+)
 
 // registryState is the encoded form of a Registry.
 type registryState struct {
@@ -20,11 +24,16 @@
 
 // MarshalBinary encodes the state for a snapshot.
 func (r *Registry) MarshalBinary() ([]byte, error) {
+	format := registryFormat
+	revisions, anyPacked := packAll(r.history)
+	if anyPacked {
+		format = packedFormat
+	}
 	return json.Marshal(registryState{
-		Format:    registryFormat,
+		Format:    format,
 		Revision:  r.revision,
 		Objects:   r.current.Changes(Set{}),
-		Revisions: r.history,
+		Revisions: revisions,
 		Recovered: r.recoveryRevision,
 		Source:    r.source,
 		Answers:   r.answers.list(),
@@ -37,8 +46,8 @@
 	if err := json.Unmarshal(data, &state); err != nil {
 		return fmt.Errorf("decoding the configuration registry: %w", err)
 	}
-	if state.Format != registryFormat {
-		return fmt.Errorf("decoding the configuration registry: format %d is not supported, expected format %d", state.Format, registryFormat)
+	if state.Format < registryFormat || state.Format > packedFormat {
+		return fmt.Errorf("decoding the configuration registry: format %d is not supported, expected format %d to %d", state.Format, registryFormat, packedFormat)
 	}
 	if uint64(len(state.Revisions)) > state.Revision {
 		return fmt.Errorf("decoding the configuration registry: %d revisions in the history, but the current revision is %d", len(state.Revisions), state.Revision)
