Begin no call in a planned stop that would not end in time

Cause: when a call is sent to a target, nothing asks whether it can end before the stop does; and a stop on the platform ended a whole second before SIGKILL.

Change: before each attempt, and after a wait at the target, a stopping daemon refuses as not run what is not expected to end in time. How long calls of a route take is learnt from their answers; unknown ones count with the objective of the route, and those whose deadline comes first always fit. Targets get no more time than the stop has left.

Why it works: a refused call has not run and says so; a call that is begun has the time that calls of its route take.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -92,6 +92,7 @@
 	targetDraining   atomic.Bool // announces the target as draining; calls already on their way are still served
 	refusingPeers    atomic.Bool
 	refusingCallers  atomic.Bool
+	stopTime         *stopTime
 	// drainEnded ends when the time of a stop for requests in flight is over. Those that are left are refused then.
 	drainEnded context.Context
 	endDrain   context.CancelFunc
@@ -114,6 +115,7 @@
 		inFlight:      newInFlight(),
 		latencies:     newLatencies(),
 		returnTimes:   newReturnTimes(),
+		stopTime:      newStopTime(),
 	}
 	d.drainEnded, d.endDrain = context.WithCancel(context.Background())
 	for _, option := range options {
@@ -234,13 +236,14 @@
 
 // stop shuts the daemon down gracefully. It serves on during the callers' notice period, announces the target as
 // draining near its end, refuses first other daemons and then callers, waits for requests in flight up to the drain
-// timeout, returns unspent tokens and closes all sockets.
+// timeout, returns unspent tokens and closes all sockets. Calls that would outlast the drain timeout are not begun.
 func (d *Daemon) stop(servers []server, stopLink func(), linkClosed <-chan struct{}) {
 	d.record("daemon", "stopping")
 	d.logger.Info().Msg("daemon: stopping")
-	d.stopping.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Timeouts.Drain)
 	defer cancel()
+	d.stopTime.begin(time.Now().Add(d.settings.Timeouts.Drain))
+	d.stopping.Store(true)
 	drainTime := min(d.settings.Timeouts.CallersNotice, targetDrainTime)
 	sleep(ctx, d.settings.Timeouts.CallersNotice-drainTime)
 	d.targetDraining.Store(true)
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -31,6 +31,9 @@
 		if refused != nil {
 			return nil, cmp.Or(unknownOutcome, refused)
 		}
+		if refused := d.stopTime.check(c, !d.refusingCallers.Load()); refused != nil {
+			return nil, cmp.Or(unknownOutcome, refused)
+		}
 		sentAt := time.Now()
 		answer, failed := d.attempt(ctx, c, chosen, len(tried) > 0)
 		c.history.addAttempt(attemptRecord{target: chosen.Target.Name, shedShare: chosen.ShedShare, outcome: describeOutcome(answer, failed), duration: time.Since(sentAt)})
@@ -122,6 +125,7 @@
 	child := c.child(d.nextCallID(), reservation.Size())
 	child.shedShare = max(c.shedShare, chosen.ShedShare)
 	child.repeat = c.repeat || extra
+	child.deadline = d.stopTime.limit(c.deadline)
 	d.chooser.Sent(a.sentAt, chosen.Target.Name)
 	d.liveness.sent(a.sentAt, chosen.Target.Name, chosen.Target.Peer)
 	var got *answer
@@ -245,6 +249,7 @@
 	a.daemon.scarce.recordReport(now, a)
 	if a.kind == target.OK {
 		a.daemon.budget(a.call.service).Success(now)
+		a.daemon.stopTime.durations.Observe(a.call.callee(), now.Sub(a.sentAt))
 	}
 	a.daemon.chooser.Answered(now, a.target.Name, target.Observation{
 		Latency:  now.Sub(a.sentAt),
--- a/internal/daemon/local.go
+++ b/internal/daemon/local.go
@@ -94,6 +94,10 @@
 	if !time.Now().Before(r.call.deadline) || ctx.Err() != nil {
 		return nil, r.giveUp(refuse(refusal.DeadlineUnreachable, "the deadline passed before the request ran"))
 	}
+	// The call may have waited here since before the stop.
+	if refused := r.daemon.stopTime.check(r.call, !r.daemon.refusingPeers.Load()); refused != nil {
+		return nil, r.giveUp(refused)
+	}
 	return r.send(ctx)
 }
 
@@ -349,6 +353,7 @@
 	})
 	report := r.daemon.reportOf(r.call, crashedTarget)
 	if !inconclusive && !r.serverError && crashedTarget == "" {
+		r.daemon.stopTime.durations.Observe(r.call.callee(), now.Sub(r.sentAt))
 		report.costs = r.daemon.scarce.recordRun(r.call, now.Sub(r.admittedAt))
 	}
 	r.done(report)
