Take no reset during an upload for the end of an answer

Callers saw: a target answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was being written; the part arrived as a complete answer (MIXED).

Cause: the system reports the break of a connection once. The write of the upload took the reset, and the read that followed returned the end of the stream, which is how such a body ends.

Change: the writing side keeps its first error. Where the end of the connection ends the answer, it counts only if no write was told of a break; a write in progress is ended and waited for first.

--- a/internal/backend/connection/persistentconn.go
+++ b/internal/backend/connection/persistentconn.go
@@ -32,6 +32,7 @@
 	conn        net.Conn
 	headerLimit *headerLimitReader
 	reader      *bufio.Reader
+	sender      *sender
 	writer      *bufio.Writer
 	staleAt     time.Time
 	carried     [maxCarriedKeys]uint64 // hashes of the keys of the last requests
@@ -40,10 +41,11 @@
 
 func newPersistentConn(p *Pool, address netip.AddrPort, conn net.Conn) *persistentConn {
 	headerLimit := &headerLimitReader{reader: conn}
+	sender := &sender{conn: conn}
 	return &persistentConn{
-		pool: p, address: address, conn: conn, headerLimit: headerLimit,
+		pool: p, address: address, conn: conn, headerLimit: headerLimit, sender: sender,
 		reader: bufio.NewReaderSize(headerLimit, bufferBytes),
-		writer: bufio.NewWriterSize(conn, bufferBytes),
+		writer: bufio.NewWriterSize(sender, bufferBytes),
 	}
 }
 
--- a/internal/backend/connection/responsebody.go
+++ b/internal/backend/connection/responsebody.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 )
@@ -22,6 +23,11 @@
 		return 0, io.EOF
 	}
 	n, err := b.ReadCloser.Read(buffer)
+	if errors.Is(err, io.EOF) && endsWithConnection(b.response) {
+		if broken := b.conn.sender.breakBeforeEnd(); broken != nil {
+			err = fmt.Errorf("reading an answer that ends with its connection: %w", broken)
+		}
+	}
 	if errors.Is(err, io.EOF) {
 		b.finish(true)
 	} else if err != nil {
@@ -47,3 +53,8 @@
 	}
 	b.conn.close()
 }
+
+// endsWithConnection reports whether the end of the connection is the only sign of the end of the body.
+func endsWithConnection(response *http.Response) bool {
+	return response.Close && response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
