Reset the connection of an old client whose answer breaks off

Callers saw: nothing reported; found while the same cause was looked for elsewhere. A client of HTTP/1.0 gets an answer without a length as the bytes up to the end of the connection, and a broken one ended with an orderly close, like a whole one.

Change: an answer that only the end of its connection delimits is broken off with a reset.

Measured: TestBrokenAnswerToAnOldClientIsReset: the broken answer was whole before, an error in five runs with the race detector after; the whole one stays whole.

--- a/internal/caller/pipeline/exchange.go
+++ b/internal/caller/pipeline/exchange.go
@@ -98,10 +98,19 @@
 	if !x.serve() || x.complete() != nil {
 		// The earlier answers are sent before the connection breaks off.
 		<-x.turn
+		if x.endsWithConnection() {
+			x.connection.conn.resetOnClose()
+		}
 		x.connection.abort()
 	}
 }
 
+// endsWithConnection reports whether the end of the connection is the only sign of the end of the answer, of which a part
+// was sent.
+func (x *exchange) endsWithConnection() bool {
+	return x.headerSent && !x.chunked && x.declared < 0
+}
+
 // serve calls the handler, unless the request was refused, and reports whether it returned normally.
 func (x *exchange) serve() (ok bool) {
 	defer func() {
--- a/internal/caller/pipeline/meteredconn.go
+++ b/internal/caller/pipeline/meteredconn.go
@@ -73,3 +73,10 @@
 	}
 	return half.CloseWrite()
 }
+
+// resetOnClose makes the connection end with a reset, if it can, so that its end is not that of an answer.
+func (c *meteredConn) resetOnClose() {
+	if conn, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = conn.SetLinger(0)
+	}
+}
--- a/internal/caller/pipeline/pipeline_test.go
+++ b/internal/caller/pipeline/pipeline_test.go
@@ -261,6 +261,29 @@
 	}
 }
 
+// TestBrokenAnswerToAnOldClientIsReset guards against a part of an answer that passes for the whole at a client of HTTP/1.0,
+// to which an answer without a length ends with its connection.
+func TestBrokenAnswerToAnOldClientIsReset(t *testing.T) {
+	s := newServer(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "begun")
+		_ = http.NewResponseController(w).Flush()
+		if r.URL.Path == "/abort" {
+			panic(http.ErrAbortHandler)
+		}
+	})
+	for path, wantWhole := range map[string]bool{"/abort": false, "/whole": true} {
+		c := s.dial(t)
+		c.send("GET " + path + " HTTP/1.0\r\nHost: x\r\n\r\n")
+		response, err := http.ReadResponse(c.reader, nil)
+		if err == nil {
+			_, err = io.ReadAll(response.Body)
+		}
+		if whole := err == nil; whole != wantWhole {
+			t.Errorf("%s: whole: %t, want %t (%v)", path, whole, wantWhole, err)
+		}
+	}
+}
+
 // TestPanicEndsOnlyItsConnection checks that an unexpected panic leaves the server and other connections in use.
 func TestPanicEndsOnlyItsConnection(t *testing.T) {
 	s := newServer(t, func(w http.ResponseWriter, r *http.Request) {
