Let the stand-in of the network fail on closed streams

Cause: the stand-in's Send took a message at random also on a stream that was closed. Right after a restart of the other follower the leader lost up to four heartbeats without an error, and stepped down after the election timeout, as it should. The panic came from instances that a failing test left running in its synctest bubble.

Change: Send fails on a closed stream, as that of a real connection does; instances are closed at the end of a failed test too. The test's faults, bounds and checks are unchanged.

A forced failure panicked before; now it is reported as such.

--- a/internal/store/network_test.go
+++ b/internal/store/network_test.go
@@ -79,6 +79,13 @@
 	if s.transport.network.isCut(s.transport.address, s.to) {
 		return nil
 	}
+	// A select between a closed stream and room in its buffer chooses at random, which would lose messages without an error
+	// long after the other side has ended.
+	select {
+	case <-s.closed:
+		return errCut
+	default:
+	}
 	select {
 	case s.messages <- proto.Clone(m):
 		return nil
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -91,6 +91,8 @@
 		c.t.Fatal(err)
 	}
 	inst.Store = opened
+	// A test that fails midway must leave no goroutine in its synctest bubble: that panics and hides the other results.
+	c.t.Cleanup(func() { _ = opened.Close() })
 }
 
 func (c *cluster) stop() {
