Let publishes of more than 2 MiB through the gate

Change: the gate reads up to the limit of the operator API, 16 MiB, as its decoder does.

Measured: TestPublishesWaitForTheirTurnOnly: 'request body too large' before, accepted after; a client that stops half-way in a publish holds up nobody.

--- a/internal/control/document.go
+++ b/internal/control/document.go
@@ -54,7 +54,8 @@
 }
 
 // Publish publishes the set built from the document. Publishing the same document on the same base again returns the first
-// result; an invalid set is rejected without an entry in the log. It fails as Control.Publish does, except that a NotLeader failure from a lost lease does not name the leader.
+// result; an invalid set is rejected without an entry in the log. It fails as Control.Publish does, except that a NotLeader
+// failure from a lost lease does not name the leader.
 func (p *DocumentPublisher) Publish(ctx context.Context, version uint64, set configuration.Set, author string) (configuration.PublishResult, error) {
 	if !p.control.LeadsNow() {
 		return configuration.PublishResult{}, errNotLeader
--- a/internal/control/publishgate.go
+++ b/internal/control/publishgate.go
@@ -38,7 +38,7 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, operator.MaxRequestBytes))
 		if err != nil {
 			// next answers to what is missing or too much.
 			r.Body = io.NopCloser(io.MultiReader(bytes.NewReader(body), failingReader{err}))
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -11,8 +11,8 @@
 	"sapphirespread.example/internal/api/oas"
 )
 
-// maxRequestBytes limits the body of a request.
-const maxRequestBytes = 16 << 20
+// MaxRequestBytes limits the body of a request.
+const MaxRequestBytes = 16 << 20
 
 // NewHandler returns an HTTP handler for the whole operator API.
 func NewHandler(s System) (http.Handler, error) {
@@ -29,7 +29,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return http.MaxBytesHandler(server, maxRequestBytes), nil
+	return http.MaxBytesHandler(server, MaxRequestBytes), nil
 }
 
 // writeFailure responds to requests that are malformed, too large or not served.
