Refuse in the notice of a stop only what usually takes too long

Callers would have seen: under load, where durations vary widely, requests refused from the SIGTERM on though most of them would have ended in the three seconds and more that are left.

Change: while callers have notice the mean of the durations decides, and the bound that few calls exceed afterwards, when only calls of running requests are left.

Measured: TestLateCallsOfAStoppingDaemonAreNotBrokenOff and the other tests of stops pass with the race detector.

--- a/internal/daemon/stoptime.go
+++ b/internal/daemon/stoptime.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -41,25 +42,32 @@
 	return earlier(deadline, end.Add(-runEndMargin))
 }
 
-// check refuses c if it is not expected to end before the stop does. A call to a callee whose durations aren't known is
-// expected to take its objective, or else all of its time; sent while callers have notice, it is given a try.
+// check refuses c if it is not expected to end before the stop does. While callers have notice, most calls must be expected
+// to; afterwards, when only nested calls of running requests are left, nearly all.
 func (s *stopTime) check(c *call, hasNotice bool) *attemptError {
 	if s.end.Load() == nil {
 		return nil
 	}
 	now := time.Now()
-	expected, known := s.durations.Bound(c.callee())
+	expected := s.expect(c, hasNotice)
+	if s.limit(c.deadline).Sub(now) >= max(min(expected, c.remaining(now)), 0) {
+		return nil
+	}
+	return refuse(refusal.Draining, "it would not end before the instance stops")
+}
+
+// expect returns the time that c is expected to take. Without experience with its callee that is nothing while callers have
+// notice, and afterwards the objective of the route, or else all the time that c has.
+func (s *stopTime) expect(c *call, hasNotice bool) time.Duration {
+	mean, bound, known := s.durations.Expect(c.callee())
 	switch {
-	case known:
 	case hasNotice:
-		expected = 0
+		return mean
+	case known:
+		return bound
 	case c.objective > 0:
-		expected = c.objective
+		return c.objective
 	default:
-		expected = c.remaining(now)
-	}
-	if s.limit(c.deadline).Sub(now) >= max(min(expected, c.remaining(now)), 0) {
-		return nil
+		return math.MaxInt64
 	}
-	return refuse(refusal.Draining, "it would not end before the instance stops")
 }
--- a/internal/routing/completion/durations.go
+++ b/internal/routing/completion/durations.go
@@ -62,13 +62,13 @@
 	}
 }
 
-// Bound returns a time that few calls exceed. known is false if too few were observed.
-func (d *Durations[K]) Bound(key K) (bound time.Duration, known bool) {
+// Expect returns the mean of the durations and a bound that few calls exceed. known is false if too few were observed.
+func (d *Durations[K]) Expect(key K) (mean, bound time.Duration, known bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	usual := d.byKey[key]
 	if usual == nil || usual.samples < minSamples {
-		return 0, false
+		return 0, 0, false
 	}
-	return time.Duration(usual.mean + boundDeviations*usual.deviation), true
+	return time.Duration(usual.mean), time.Duration(usual.mean + boundDeviations*usual.deviation), true
 }
--- a/internal/routing/completion/durations_test.go
+++ b/internal/routing/completion/durations_test.go
@@ -24,10 +24,13 @@
 		for range 50 {
 			d.Observe("a", draw())
 		}
-		bound, known := d.Bound("a")
+		mean, bound, known := d.Expect("a")
 		if !known {
 			t.Fatal("fifty calls say nothing")
 		}
+		if mean < usual || mean > 2*usual {
+			t.Errorf("the mean of calls of %s to %s is %s", usual, 2*usual, mean)
+		}
 		const later = 60
 		longer := 0
 		for range later {
@@ -49,14 +52,14 @@
 	d := completion.NewDurations[int](2)
 	for key := range 3 {
 		for i := range 8 {
-			if _, known := d.Bound(key); known {
+			if _, _, known := d.Expect(key); known {
 				t.Errorf("%d calls of %d are enough", i, key)
 			}
 			d.Observe(key, time.Second)
 		}
 	}
 	for key, want := range map[int]bool{0: false, 1: true, 2: true} {
-		if _, known := d.Bound(key); known != want {
+		if _, _, known := d.Expect(key); known != want {
 			t.Errorf("key %d: known %t, want %t", key, known, want)
 		}
 	}
