Move the estimate of durations more slowly

Cause: with the gain of TCP's retransmission timer the deviation falls after a few like durations, and the bound below many of the next. Late in a stop such calls would be begun and might be broken off.

Change: both estimates move by a sixteenth. The property is unchanged.

--- a/internal/routing/completion/durations.go
+++ b/internal/routing/completion/durations.go
@@ -8,10 +8,10 @@
 const (
 	// minSamples is the number of answers from which on their durations say how long the next one takes.
 	minSamples = 8
-	// meanGain and deviationGain are the shares by which a new duration moves the estimates, those of TCP's retransmission
-	// timer (RFC 6298), as is the number of deviations in the bound.
-	meanGain        = 1.0 / 8
-	deviationGain   = 1.0 / 4
+	// gain is the share by which a new duration moves the estimates. It is less than in TCP's retransmission timer (RFC 6298),
+	// whose deviation falls for a while after a few like durations, and with it the bound below many of the next.
+	gain = 1.0 / 16
+	// boundDeviations is the number of mean deviations in the bound, that of the retransmission timer.
 	boundDeviations = 4
 )
 
@@ -49,8 +49,8 @@
 		return
 	}
 	difference := sample - usual.mean
-	usual.deviation += deviationGain * (max(difference, -difference) - usual.deviation)
-	usual.mean += meanGain * difference
+	usual.deviation += gain * (max(difference, -difference) - usual.deviation)
+	usual.mean += gain * difference
 	usual.samples = min(usual.samples+1, minSamples)
 }
 
