Review case 12: count only kept connections

The rule LOST speaks of requests from a kept connection, so what is lost in the first batch of a connection doesn't count any more.

--- a/review/standin-3/pipelined.go
+++ b/review/standin-3/pipelined.go
@@ -163,7 +163,7 @@
 	}
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
-	for time.Now().Before(end) {
+	for kept := false; time.Now().Before(end); kept = true {
 		ids := make([]string, pipelineDepth)
 		var out bytes.Buffer
 		for i := range ids {
@@ -174,14 +174,15 @@
 		if _, err := conn.Write(out.Bytes()); err != nil {
 			return
 		}
-		if !l.read(reader, ids) {
+		if !l.read(reader, ids, kept) {
 			return
 		}
 	}
 }
 
-// read reads the answers to a batch and reports whether the connection holds.
-func (l *lostPages) read(reader *bufio.Reader, ids []string) bool {
+// read reads the answers to a batch and reports whether the connection holds. Only what is lost on a kept connection, one that
+// has carried a batch before, counts.
+func (l *lostPages) read(reader *bufio.Reader, ids []string, kept bool) bool {
 	got := 0
 	partial := false
 	var failure error
@@ -207,6 +208,9 @@
 	if failure == nil {
 		return true
 	}
+	if !kept {
+		return false
+	}
 	l.servers.mu.Lock()
 	defer l.servers.mu.Unlock()
 	if partial {
