--- a/review/standin-3/idlestreams.go
+++ b/review/standin-3/idlestreams.go
@@ -51,23 +51,45 @@
 	}
 }
 
+// stores are two services that take uploads, each on one machine, and the machines of the tenants that upload.
+type stores struct {
+	world   *world
+	daemons map[int]*process
+	kills   map[int]*atomic.Int64
+	offices []int
+}
+
 // playIdleStreams lets the tenants of eight machines upload to two stores, and makes one tenant after the other send many
 // times its usual. The rule is broken if the daemons beside both stores end three times for their memory.
 func playIdleStreams(w *world) (broken bool) {
+	s := startStores(w, func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		time.Sleep(storeWork)
+		answerWith(w, []byte("stored"))
+	})
+	s.upload(usualRate, w.trouble)
+	return s.ended()
+}
+
+// startStores starts all processes and servers, with work at the stores.
+func startStores(w *world, work http.HandlerFunc) *stores {
 	w.memoryMb = sidecarMemoryMb
 	for _, host := range w.seeds {
 		w.startControl(host)
 	}
-	stores := map[int]string{4: "albums", 5: "scans"}
-	daemons, kills := map[int]*process{}, map[int]*atomic.Int64{}
-	var all, fronts []int
+	services := map[int]string{4: "albums", 5: "scans"}
+	s := &stores{world: w, daemons: map[int]*process{}, kills: map[int]*atomic.Int64{}}
+	var all []int
 	for _, host := range []int{4, 5} {
-		daemons[host], kills[host] = w.startDaemon(host, stores[host]), &atomic.Int64{}
+		s.daemons[host], s.kills[host] = w.startDaemon(host, services[host]), &atomic.Int64{}
 		all = append(all, host)
 	}
 	for host := 6; host < 6+offices; host++ {
+		services[host] = "front"
 		w.startDaemon(host, "front")
-		all, fronts = append(all, host), append(fronts, host)
+		all, s.offices = append(all, host), append(s.offices, host)
 	}
 	var tenants []string
 	for i := range offices {
@@ -78,37 +100,30 @@
 	}
 	w.put(`{"Version":5,"Routes":{` + routeText("albums") + `,` + routeText("scans") + `},"Services":{` + serviceText("albums") + `,` + serviceText("scans") + `,` +
 		serviceText("front") + `},"Limits":` + limitsText + `,"Tenants":{` + strings.Join(tenants, ",") + `}}`)
-	store := func(w http.ResponseWriter, r *http.Request) {
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
-			return
-		}
-		time.Sleep(storeWork)
-		answerWith(w, []byte("stored"))
-	}
 	for _, host := range all {
-		service := stores[host]
-		if service == "" {
-			service = "front"
-		}
-		w.startTarget(host, service, storeSlots, store)
+		w.startTarget(host, services[host], storeSlots, work)
 	}
 	w.awaitReady(all...)
 	time.Sleep(4 * time.Second)
-	for host, p := range daemons {
-		go p.limitMemory(int64(w.memoryMb)<<20, kills[host])
+	for host, p := range s.daemons {
+		go p.limitMemory(int64(w.memoryMb)<<20, s.kills[host])
 	}
-	counts := w.upload(fronts, daemons)
-	w.note("answers by service and status: %v", counts)
-	broken = true
+	return s
+}
+
+// ended reports whether the daemons beside both stores were ended for their memory often enough to break the rule.
+func (s *stores) ended() bool {
+	broken := true
 	for _, host := range []int{4, 5} {
-		w.note("%s was ended for its memory %d times; its peak was %d MB", daemons[host].name, kills[host].Load(), daemons[host].peak.Load()>>20)
-		broken = broken && kills[host].Load() >= endsAllowed
+		s.world.note("%s was ended for its memory %d times; its peak was %d MB", s.daemons[host].name, s.kills[host].Load(), s.daemons[host].peak.Load()>>20)
+		broken = broken && s.kills[host].Load() >= endsAllowed
 	}
 	return broken
 }
 
-// upload sends the uploads of all offices and returns how often which status came.
-func (w *world) upload(fronts []int, daemons map[int]*process) map[string]int {
+// upload sends rate uploads a second from each office to each store, and more from one office after the other if one is hot.
+func (s *stores) upload(usual float64, oneIsHot bool) {
+	w := s.world
 	var hot atomic.Int64
 	hot.Store(-1)
 	end := time.Now().Add(uploadTime)
@@ -116,12 +131,12 @@
 	counts := map[string]int{}
 	var mu sync.Mutex
 	var wait sync.WaitGroup
-	for i, host := range fronts {
+	for i, host := range s.offices {
 		for _, service := range []string{"albums", "scans"} {
 			wait.Go(func() {
 				client := newTransport()
 				for time.Now().Before(end) {
-					rate := float64(usualRate)
+					rate := usual
 					if hot.Load() == int64(i) {
 						rate *= hotFactor
 					}
@@ -137,14 +152,14 @@
 		}
 	}
 	for i := 0; time.Now().Before(end); i++ {
-		if w.trouble && i > 0 {
+		if oneIsHot && i > 0 {
 			hot.Store(int64(i % offices))
 		}
 		for range int(hotTime / time.Second) {
 			time.Sleep(time.Second)
-			w.note("hot tenant %d; resident: albums %d MB, scans %d MB", hot.Load(), daemons[4].resident()>>20, daemons[5].resident()>>20)
+			w.note("hot tenant %d; resident: albums %d MB, scans %d MB", hot.Load(), s.daemons[4].resident()>>20, s.daemons[5].resident()>>20)
 		}
 	}
 	wait.Wait()
-	return counts
+	w.note("answers by service and status: %v", counts)
 }
